--- /dev/null
+++ b/src/main/java/org/spoolline/Controller.java
@@ -0,0 +1,96 @@
+package org.spoolline;
+
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+import org.spoolline.fleet.Catalog;
+import org.spoolline.fleet.Fleet;
+import org.spoolline.intake.Intake;
+import org.spoolline.leadership.Leadership;
+import org.spoolline.net.Http;
+import org.spoolline.net.Json;
+import org.spoolline.net.Loop;
+import org.spoolline.peers.Peers;
+import org.spoolline.placement.JobTable;
+import org.spoolline.placement.Rounds;
+import org.spoolline.settings.Constants;
+import org.spoolline.settings.Settings;
+import org.spoolline.state.StateClient;
+import org.spoolline.workers.CheckIns;
+import org.spoolline.workers.MachineTable;
+
+/** One controller node: its slices, wired together. Clock, random source and network come from outside. */
+public final class Controller implements Leadership.Listener {
+    private final Loop loop;
+    private final StateClient state;
+    private final Leadership leadership;
+    private final Catalog catalog;
+    private final Intake intake;
+    private final CheckIns checkIns;
+    private final Rounds rounds;
+    private final Fleet fleet;
+    private final Peers peers;
+
+    public Controller(Settings settings, Loop loop, Http.Caller http, RandomGenerator random) {
+        this.loop = loop;
+        state = new StateClient(loop, http, settings);
+        leadership = new Leadership(loop, random, state, settings, this);
+        catalog = new Catalog(loop, http, settings, state);
+        intake = new Intake(loop, settings, state, catalog);
+        MachineTable machines = new MachineTable();
+        JobTable jobs = new JobTable();
+        rounds = new Rounds(loop, settings, state, leadership, catalog, machines, jobs);
+        fleet = new Fleet(loop, http, settings, leadership, catalog, machines, rounds::poke);
+        checkIns = new CheckIns(loop, leadership, machines, jobs, rounds, rounds::poke);
+        rounds.connect(fleet, () -> checkIns.ready(true));
+        peers = new Peers(loop, http, settings, state, leadership);
+    }
+
+    public void start() {
+        leadership.start();
+        catalog.start();
+        peers.start();
+        probe();
+    }
+
+    /** Serves users, workers and health checks. */
+    public void serve(Http.Request request, Consumer<Http.Response> answer) {
+        String path = request.path();
+        if (path.equals("/checkin")) {
+            checkIns.handle(request, answer);
+        } else if (Intake.serves(path)) {
+            intake.handle(request, answer);
+        } else if (path.equals("/healthz")) {
+            answer.accept(Http.Response.of(healthy() ? 200 : 503, new byte[0]));
+        } else {
+            answer.accept(Http.Response.of(404, Json.bytes(Json.object().put("error", "no such path"))));
+        }
+    }
+
+    /** Serves the other controllers. */
+    public void servePeer(Http.Request request, Consumer<Http.Response> answer) {
+        peers.handle(request, answer);
+    }
+
+    /** In an outage common to all, leaving the load balancer helps nobody; a node cut off alone should leave it. */
+    private boolean healthy() {
+        return catalog.known() && (state.reachable() || !peers.anyReachesState());
+    }
+
+    private void probe() {
+        state.probe();
+        loop.after(Constants.STATE_PROBE_MS, this::probe);
+    }
+
+    @Override
+    public void elected(long token, long keyVersion) {
+        checkIns.ready(false);
+        fleet.elected(token);
+        rounds.elected(token);
+    }
+
+    @Override
+    public void deposed(String why) {
+        checkIns.ready(false);
+        rounds.deposed();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/spoolline/cli/Main.java
@@ -0,0 +1,105 @@
+package org.spoolline.cli;
+
+import io.undertow.server.DefaultByteBufferPool;
+import java.io.IOException;
+import java.net.BindException;
+import java.nio.file.Path;
+import java.util.Locale;
+import java.util.concurrent.Callable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.spoolline.Controller;
+import org.spoolline.net.UndertowCaller;
+import org.spoolline.net.UndertowServer;
+import org.spoolline.net.XnioLoop;
+import org.spoolline.settings.Constants;
+import org.spoolline.settings.Settings;
+import org.spoolline.settings.SettingsException;
+import org.spoolline.settings.SettingsFile;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioIoThread;
+import org.xnio.XnioWorker;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+/** The command line. Exit codes: 0 fine, 1 the service failed, 2 wrong use or unusable settings. */
+@Command(name = "spoolline", mixinStandardHelpOptions = true, version = "spoolline 0.1.0",
+        description = "Cluster scheduler: runs one controller node until it is killed.")
+public final class Main implements Callable<Integer> {
+    @Option(names = "--config", required = true, paramLabel = "FILE", description = "Settings file (TOML).")
+    private Path config;
+
+    @Option(names = "--check", description = "Check the settings and exit without serving.")
+    private boolean check;
+
+    public static void main(String[] args) {
+        String level = System.getenv().getOrDefault("LOG_LEVEL", "info");
+        switch (level) {
+            case "error", "info", "debug" -> { }
+            default -> {
+                System.err.println("spoolline: LOG_LEVEL must be error, info or debug, not " + level);
+                System.exit(2);
+            }
+        }
+        System.setProperty("org.jboss.logging.provider", "slf4j");
+        System.setProperty("org.slf4j.simpleLogger.defaultLogLevel", "error");
+        System.setProperty("org.slf4j.simpleLogger.log.org.spoolline", level.toLowerCase(Locale.ROOT));
+        System.setProperty("org.slf4j.simpleLogger.showThreadName", "false");
+        System.setProperty("org.slf4j.simpleLogger.showShortLogName", "true");
+        int code = new CommandLine(new Main()).execute(args);
+        if (code != 0) {
+            System.exit(code);
+        }
+    }
+
+    @Override
+    public Integer call() {
+        Settings settings;
+        try {
+            settings = SettingsFile.read(config);
+        } catch (SettingsException e) {
+            System.err.println("spoolline: " + e.getMessage());
+            return 2;
+        }
+        if (check) {
+            System.out.println("settings of " + settings.node() + " are fine");
+            return 0;
+        }
+        return serve(settings);
+    }
+
+    private static int serve(Settings settings) {
+        Logger log = LoggerFactory.getLogger(Main.class);
+        try {
+            XnioWorker worker = Xnio.getInstance().createWorker(OptionMap.builder()
+                    .set(Options.WORKER_IO_THREADS, 1)
+                    .set(Options.WORKER_TASK_CORE_THREADS, 1)
+                    .set(Options.WORKER_TASK_MAX_THREADS, 1)
+                    .set(Options.TCP_NODELAY, true)
+                    .getMap());
+            XnioIoThread thread = worker.getIoThread();
+            DefaultByteBufferPool buffers = new DefaultByteBufferPool(false, Constants.BUFFER_BYTES,
+                    Constants.BUFFERS_KEPT, 0);
+            Controller controller = new Controller(settings, new XnioLoop(thread),
+                    new UndertowCaller(thread, buffers), new java.util.SplittableRandom());
+            UndertowServer.start(worker, buffers, settings.serveOn(), controller::serve);
+            UndertowServer.start(worker, buffers, settings.internalAddress(), controller::servePeer);
+            thread.execute(controller::start);
+            log.info("{} serves users and workers on {}, controllers on {}", settings.node(), settings.serveOn(),
+                    settings.internalAddress());
+            return 0;
+        } catch (IOException | RuntimeException e) {
+            Throwable cause = e;
+            while (cause.getCause() != null) {
+                cause = cause.getCause();
+            }
+            System.err.println("spoolline: can't serve on " + settings.serveOn() + " and "
+                    + settings.internalAddress() + ": " + (cause instanceof BindException ? "address in use or not "
+                    + "ours" : cause));
+            return 1;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/spoolline/leadership/Leadership.java
@@ -0,0 +1,228 @@
+package org.spoolline.leadership;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.random.RandomGenerator;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.spoolline.net.Json;
+import org.spoolline.net.Loop;
+import org.spoolline.settings.Constants;
+import org.spoolline.settings.Settings;
+import org.spoolline.state.StateClient;
+
+/**
+ * Who leads. A node becomes leader by one transaction that raises the token and sets the leader key on its own
+ * state lease; it counts as leader only until the last answered renewal was sent, plus the lease's time, less drift
+ * and margin. Wanted state: a leader exists; the watch on the key and the renewals work out the difference.
+ */
+public final class Leadership {
+    /** Where the leader's key and the token counter live. */
+    public static final String LEADER_KEY = "leader";
+    public static final String TOKEN_KEY = "token";
+    private static final Logger LOG = LoggerFactory.getLogger(Leadership.class);
+
+    /** What the rest of the node does when leadership comes or goes. */
+    public interface Listener {
+        void elected(long token, long keyVersion);
+
+        void deposed(String why);
+    }
+
+    private final Loop loop;
+    private final RandomGenerator random;
+    private final StateClient state;
+    private final Settings settings;
+    private final Listener listener;
+
+    private String knownLeader;
+    private long knownToken;
+    private boolean leading;
+    private long token;
+    private long keyVersion;
+    private long lease;
+    private long validUntil;
+    private boolean standing;
+
+    public Leadership(Loop loop, RandomGenerator random, StateClient state, Settings settings, Listener listener) {
+        this.loop = loop;
+        this.random = random;
+        this.state = state;
+        this.settings = settings;
+        this.listener = listener;
+    }
+
+    public void start() {
+        observe();
+    }
+
+    /** True while this node may decide, commit and launch: checked at the moment of each answer. */
+    public boolean valid() {
+        return leading && loop.now() < validUntil;
+    }
+
+    /**
+     * True while this node may keep workers' leases alive without deciding anything. It outlasts {@link #valid} by
+     * the keep-alive time, which a new leader counts before it takes silence for an end.
+     */
+    public boolean mayKeepAlive() {
+        return leading && loop.now() < validUntil + settings.keepAliveMs();
+    }
+
+    public long token() {
+        return token;
+    }
+
+    public long keyVersion() {
+        return keyVersion;
+    }
+
+    /** The leader's node name as last seen, or null. */
+    public String knownLeader() {
+        return knownLeader;
+    }
+
+    /** The highest token this node has seen on the leader key. */
+    public long knownToken() {
+        return Math.max(knownToken, token);
+    }
+
+    /** A peer or a worker has seen a token over ours: another leader was elected since. */
+    public void sawToken(long seen) {
+        if (leading && seen > token) {
+            depose("token " + seen + " is over ours, " + token);
+        }
+    }
+
+    /** Gives way; the key goes with its lease. */
+    public void depose(String why) {
+        if (!leading) {
+            return;
+        }
+        LOG.info("leadership with token {} ends: {}", token, why);
+        leading = false;
+        knownLeader = null;
+        state.leading(false);
+        listener.deposed(why);
+        loop.after(Constants.RETRY_MS, this::observe);
+    }
+
+    /** Reads the leader key, then stands or waits for its change. */
+    private void observe() {
+        if (leading) {
+            return;
+        }
+        state.force(0);
+        state.get(LEADER_KEY, read -> {
+            if (leading) {
+                return;
+            }
+            if (!read.reached()) {
+                loop.after(Constants.RETRY_MS + random.nextLong(Constants.STAND_SPREAD_MS), this::observe);
+            } else if (read.item().exists()) {
+                follow(read.item().value(), read.item().version());
+            } else {
+                knownLeader = null;
+                loop.after(random.nextLong(Constants.STAND_SPREAD_MS), this::stand);
+            }
+        });
+    }
+
+    private void follow(JsonNode value, long version) {
+        String node = value.path("node").asText();
+        if (!node.equals(knownLeader)) {
+            LOG.info("leader is {} with token {}", node, value.path("token").asLong());
+        }
+        // Our own key of an earlier life still holds the place until its lease ends: nobody leads meanwhile.
+        knownLeader = node.equals(settings.node()) ? null : node;
+        knownToken = Math.max(knownToken, value.path("token").asLong());
+        state.watch(LEADER_KEY, version, watched -> {
+            if (watched.reached() && !watched.changes().isEmpty()) {
+                StateClient.Change last = watched.changes().get(watched.changes().size() - 1);
+                if (last.value() != null) {
+                    follow(last.value(), last.version());
+                    return;
+                }
+                knownLeader = null;
+            }
+            loop.after(watched.reached() ? 0 : Constants.RETRY_MS, this::observe);
+        });
+    }
+
+    private void stand() {
+        if (leading || standing) {
+            return;
+        }
+        standing = true;
+        long sent = loop.now();
+        state.createLease(Constants.LEADERSHIP_MS, fresh -> {
+            if (fresh == 0) {
+                standing = false;
+                loop.after(Constants.RETRY_MS, this::observe);
+                return;
+            }
+            state.force(0);
+            state.get(TOKEN_KEY, read -> {
+                if (!read.reached()) {
+                    standing = false;
+                    loop.after(Constants.RETRY_MS, this::observe);
+                    return;
+                }
+                long next = read.item().exists() ? read.item().value().path("n").asLong() + 1 : 1;
+                elect(fresh, sent, next, read.item().version());
+            });
+        });
+    }
+
+    private void elect(long fresh, long leaseSent, long next, long tokenVersion) {
+        ObjectNode leader = Json.object().put("node", settings.node()).put("addr", settings.internalAddress())
+                .put("token", next);
+        StateClient.Txn txn = new StateClient.Txn().require(LEADER_KEY, 0).require(TOKEN_KEY, tokenVersion)
+                .put(TOKEN_KEY, Json.object().put("n", next)).putLeased(LEADER_KEY, leader, fresh);
+        state.force(2);
+        state.commit(txn, outcome -> {
+            standing = false;
+            if (outcome.fate() != StateClient.Fate.APPLIED) {
+                // An election without an answer may have been applied: the key then names us, with nobody leading,
+                // until its lease ends. That is waited for in follow().
+                loop.after(outcome.fate() == StateClient.Fate.CONFLICT ? 0 : Constants.RETRY_MS, this::observe);
+                return;
+            }
+            leading = true;
+            token = next;
+            keyVersion = outcome.revision();
+            lease = fresh;
+            validUntil = until(leaseSent);
+            knownLeader = settings.node();
+            knownToken = Math.max(knownToken, next);
+            state.leading(true);
+            LOG.info("elected with token {}", token);
+            listener.elected(token, keyVersion);
+            loop.after(Constants.RENEW_MS, () -> renew(next));
+        });
+    }
+
+    private void renew(long mine) {
+        if (!leading || token != mine) {
+            return;
+        }
+        long sent = loop.now();
+        state.renewLease(lease, status -> {
+            if (!leading || token != mine) {
+                return;
+            }
+            if (status == 200) {
+                validUntil = Math.max(validUntil, until(sent));
+            } else if (status == 404) {
+                depose("its lease has ended");
+                return;
+            }
+            // Any other answer proves nothing: the lease may outlive an outage, and then we still lead.
+            loop.after(status == 200 ? Constants.RENEW_MS : Constants.RETRY_MS, () -> renew(mine));
+        });
+    }
+
+    private static long until(long sent) {
+        return sent + (long) (Constants.LEADERSHIP_MS * (1 - Constants.DRIFT)) - Constants.MARGIN_MS;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/spoolline/net/Json.java
@@ -0,0 +1,43 @@
+package org.spoolline.net;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.MissingNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+
+/** JSON trees, the only form of JSON the program uses. */
+public final class Json {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private Json() {
+    }
+
+    public static ObjectNode object() {
+        return MAPPER.createObjectNode();
+    }
+
+    public static ArrayNode array() {
+        return MAPPER.createArrayNode();
+    }
+
+    /** The tree, or a missing node when the bytes are not JSON. */
+    public static JsonNode read(byte[] bytes) {
+        try {
+            JsonNode tree = MAPPER.readTree(bytes);
+            return tree == null ? MissingNode.getInstance() : tree;
+        } catch (IOException e) {
+            return MissingNode.getInstance();
+        }
+    }
+
+    public static byte[] bytes(JsonNode tree) {
+        try {
+            return MAPPER.writeValueAsBytes(tree);
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/spoolline/net/UndertowServer.java
@@ -0,0 +1,85 @@
+package org.spoolline.net;
+
+import io.undertow.Undertow;
+import io.undertow.UndertowOptions;
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import java.nio.ByteBuffer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.spoolline.settings.Constants;
+import org.xnio.XnioWorker;
+
+/** Listens on one address and serves its handler on the worker's I/O thread. */
+public final class UndertowServer {
+    private static final Logger LOG = LoggerFactory.getLogger(UndertowServer.class);
+
+    private UndertowServer() {
+    }
+
+    /** Starts listening; throws when the address can't be bound. */
+    public static Undertow start(XnioWorker worker, ByteBufferPool buffers, String address, Http.Handler handler) {
+        int colon = address.lastIndexOf(':');
+        Undertow server = Undertow.builder()
+                .setWorker(worker)
+                .setByteBufferPool(buffers)
+                .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
+                .setServerOption(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
+                .setServerOption(UndertowOptions.RECORD_REQUEST_START_TIME, false)
+                .addHttpListener(Integer.parseInt(address.substring(colon + 1)), address.substring(0, colon),
+                        exchange -> receive(exchange, handler))
+                .build();
+        server.start();
+        return server;
+    }
+
+    private static void receive(HttpServerExchange exchange, Http.Handler handler) {
+        if (exchange.getRequestContentLength() > Constants.MAX_BODY_BYTES) {
+            exchange.setPersistent(false);
+            send(exchange, Http.Response.of(400, Constants.BODY_TOO_LARGE));
+            return;
+        }
+        if (exchange.isRequestComplete()) {
+            dispatch(exchange, new byte[0], handler);
+            return;
+        }
+        exchange.getRequestReceiver().setMaxBufferSize(Constants.MAX_BODY_BYTES);
+        exchange.getRequestReceiver().receiveFullBytes(
+                (x, body) -> dispatch(x, body, handler),
+                (x, e) -> {
+                    x.setPersistent(false);
+                    send(x, Http.Response.of(400, Constants.BODY_TOO_LARGE));
+                });
+    }
+
+    private static void dispatch(HttpServerExchange exchange, byte[] body, Http.Handler handler) {
+        if (exchange.isResponseStarted()) {
+            return;
+        }
+        Http.Request request = new Http.Request(exchange.getRequestMethod().toString(), exchange.getRequestPath(),
+                exchange.getQueryString(), body);
+        exchange.dispatch(exchange.getIoThread(), () -> {
+            try {
+                handler.handle(request, response -> send(exchange, response));
+            } catch (RuntimeException e) {
+                LOG.error("{} {} failed", request.method(), request.path(), e);
+                if (!exchange.isResponseStarted()) {
+                    send(exchange, new Http.Response(503, new byte[0], 1));
+                }
+            }
+        });
+    }
+
+    private static void send(HttpServerExchange exchange, Http.Response response) {
+        exchange.setStatusCode(response.status());
+        if (response.body().length > 0) {
+            exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
+        }
+        if (response.retryAfterS() > 0) {
+            exchange.getResponseHeaders().put(new HttpString("Retry-After"), response.retryAfterS());
+        }
+        exchange.getResponseSender().send(ByteBuffer.wrap(response.body()));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/spoolline/pipeline/Pipeline.java
@@ -0,0 +1,307 @@
+package org.spoolline.pipeline;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.BitSet;
+import java.util.LinkedHashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import org.spoolline.net.Json;
+import org.spoolline.settings.Constants;
+
+/**
+ * A job as the one stored value of the design: submission, CEKK state, wide join, current attempts and retry state.
+ * The activity is the job itself; an array's tasks are a fork too wide for a frame each, so its join is kept as a low
+ * mark plus a bitmap of a bounded window (all tasks below the mark are done), which fits any width into one value.
+ *
+ * <p>Mutable while a round of decisions works on its own {@link #copy}; the confirmed one is never changed.
+ */
+public final class Pipeline {
+    private static final String ACTIVITY = "tasks";
+    private static final int VERSION = 1;
+
+    private final Submission spec;
+    private final JsonNode rawSpec;
+    private final long acceptedAt;
+    private boolean cancelled;
+    private Cekk.State cekk;
+    private int low;
+    private final BitSet window;
+    private long lastAttempt;
+    private final List<Attempt> attempts;
+    private int failures;
+    private long notBefore;
+    private final Set<String> avoided;
+
+    private Pipeline(Submission spec, JsonNode rawSpec, long acceptedAt, boolean cancelled, Cekk.State cekk, int low,
+                     BitSet window, long lastAttempt, List<Attempt> attempts, int failures, long notBefore,
+                     Set<String> avoided) {
+        this.spec = spec;
+        this.rawSpec = rawSpec;
+        this.acceptedAt = acceptedAt;
+        this.cancelled = cancelled;
+        this.cekk = cekk;
+        this.low = low;
+        this.window = window;
+        this.lastAttempt = lastAttempt;
+        this.attempts = attempts;
+        this.failures = failures;
+        this.notBefore = notBefore;
+        this.avoided = avoided;
+    }
+
+    /** A new pipeline; {@code acceptedAt} is the time of day in milliseconds. */
+    public static Pipeline accept(Submission spec, JsonNode rawSpec, long acceptedAt) {
+        return new Pipeline(spec, rawSpec, acceptedAt, false, enacted(), 0, new BitSet(), 0, new ArrayList<>(), 0, 0,
+                new LinkedHashSet<>());
+    }
+
+    /** The job's activity under an or-closure that regenerates itself: a users' job is never called failed. */
+    private static Cekk.State enacted() {
+        Flow.Activity job = new Flow.Activity(ACTIVITY);
+        Stack endless = Stack.BOTTOM.push(new Flow.OrClosure(new Flow.Or(List.of(job)), Stack.BOTTOM, Stack.BOTTOM,
+                true));
+        return Cekk.start(job, endless);
+    }
+
+    public Pipeline copy() {
+        return new Pipeline(spec, rawSpec, acceptedAt, cancelled, cekk, low, (BitSet) window.clone(), lastAttempt,
+                new ArrayList<>(attempts), failures, notBefore, new LinkedHashSet<>(avoided));
+    }
+
+    public Submission spec() {
+        return spec;
+    }
+
+    public String uid() {
+        return spec.uid();
+    }
+
+    public long acceptedAt() {
+        return acceptedAt;
+    }
+
+    public boolean cancelled() {
+        return cancelled;
+    }
+
+    public List<Attempt> attempts() {
+        return attempts;
+    }
+
+    public long notBefore() {
+        return notBefore;
+    }
+
+    public boolean avoids(String machine) {
+        return avoided.contains(machine);
+    }
+
+    /** True once the join has succeeded and the success stack was popped to the empty flow. */
+    public boolean finished() {
+        return cekk.end() == Cekk.End.SUCCEEDED;
+    }
+
+    public boolean taskDone(int task) {
+        return task < low || window.get(task - low);
+    }
+
+    public int doneCount() {
+        return low + window.cardinality();
+    }
+
+    /** A task completed: it joins; the last one makes the activity succeed (A2) and pops the success stack. */
+    public void complete(int task) {
+        if (finished() || taskDone(task)) {
+            return;
+        }
+        window.set(task - low);
+        int first = window.nextClearBit(0);
+        if (first > 0) {
+            low += first;
+            BitSet rest = window.get(first, Math.max(first, window.length()));
+            window.clear();
+            window.or(rest);
+        }
+        if (doneCount() == spec.tasks()) {
+            cekk = Cekk.succeeded(cekk, ACTIVITY);
+        }
+    }
+
+    /** A task failed: the failure stack (A3, O3) sets the job up for another way, elsewhere and later. */
+    public void fail(String machine, long timeOfDay) {
+        if (finished()) {
+            return;
+        }
+        cekk = Cekk.failed(cekk, ACTIVITY);
+        int doublings = Math.min(failures, Constants.FAILURE_PAUSE_DOUBLINGS);
+        failures++;
+        notBefore = timeOfDay + (Constants.FAILURE_PAUSE_MS << doublings);
+        avoided.add(machine);
+        if (avoided.size() > Constants.AVOIDED_MACHINES) {
+            avoided.remove(avoided.iterator().next());
+        }
+    }
+
+    public int failures() {
+        return failures;
+    }
+
+    /** A pause without blame, after a start that was refused. */
+    public void pauseUntil(long timeOfDay) {
+        notBefore = Math.max(notBefore, timeOfDay);
+    }
+
+    public void cancel() {
+        cancelled = true;
+    }
+
+    public void remove(Attempt attempt) {
+        attempts.remove(attempt);
+    }
+
+    /** Number for a new batch of starts; numbers only grow. */
+    public long nextAttempt() {
+        return ++lastAttempt;
+    }
+
+    public void place(Attempt attempt) {
+        attempts.add(attempt);
+    }
+
+    /** Tasks neither done nor on a machine, lowest first, at most {@code most}, within the join's window. */
+    public List<Integer> ready(int most) {
+        List<Integer> found = new ArrayList<>();
+        if (cancelled || finished()) {
+            return found;
+        }
+        BitSet placed = new BitSet();
+        attempts.forEach(a -> placed.set(a.task()));
+        int end = Math.min(spec.tasks(), low + Constants.JOIN_WINDOW);
+        for (int task = low; task < end && found.size() < most; task++) {
+            if (!taskDone(task) && !placed.get(task)) {
+                found.add(task);
+            }
+        }
+        return found;
+    }
+
+    /** Number of tasks neither done nor on a machine. */
+    public int readyCount() {
+        if (cancelled || finished()) {
+            return 0;
+        }
+        int held = 0;
+        for (Attempt a : attempts) {
+            if (!taskDone(a.task())) {
+                held++;
+            }
+        }
+        return spec.tasks() - doneCount() - held;
+    }
+
+    /** The stored form. */
+    public ObjectNode encode() {
+        ObjectNode value = Json.object().put("ver", VERSION);
+        value.set("job", rawSpec);
+        value.put("at", acceptedAt);
+        value.set("k", StackCodec.encode(cekk));
+        if (cancelled) {
+            value.put("cancelled", true);
+        }
+        value.put("low", low);
+        if (!window.isEmpty()) {
+            value.put("win", Base64.getEncoder().withoutPadding().encodeToString(window.toByteArray()));
+        }
+        value.put("n", lastAttempt);
+        if (!attempts.isEmpty()) {
+            value.set("on", encodeAttempts());
+        }
+        if (failures > 0) {
+            value.put("fails", failures);
+            ArrayNode bad = value.putArray("avoid");
+            avoided.forEach(bad::add);
+        }
+        if (notBefore > 0) {
+            value.put("notBefore", notBefore);
+        }
+        return value;
+    }
+
+    private ArrayNode encodeAttempts() {
+        Map<String, TreeMap<Integer, Attempt>> groups = new LinkedHashMap<>();
+        for (Attempt a : attempts) {
+            groups.computeIfAbsent(a.machine() + "/" + a.session() + "/" + a.number(), k -> new TreeMap<>())
+                    .put(a.task(), a);
+        }
+        ArrayNode all = Json.array();
+        for (TreeMap<Integer, Attempt> group : groups.values()) {
+            Attempt any = group.firstEntry().getValue();
+            all.addArray().add(any.machine()).add(any.session()).add(any.number()).add(runs(group.keySet()));
+        }
+        return all;
+    }
+
+    private static String runs(Iterable<Integer> sorted) {
+        StringBuilder text = new StringBuilder();
+        int start = -2;
+        int last = -2;
+        for (int task : sorted) {
+            if (task == last + 1) {
+                last = task;
+                continue;
+            }
+            appendRun(text, start, last);
+            start = task;
+            last = task;
+        }
+        appendRun(text, start, last);
+        return text.toString();
+    }
+
+    private static void appendRun(StringBuilder text, int start, int last) {
+        if (start < 0) {
+            return;
+        }
+        if (text.length() > 0) {
+            text.append(',');
+        }
+        text.append(start);
+        if (last > start) {
+            text.append('-').append(last);
+        }
+    }
+
+    /** Reads the stored form. */
+    public static Pipeline decode(JsonNode value) {
+        if (value.path("ver").asInt() != VERSION) {
+            throw new IllegalArgumentException("pipeline value of unknown version " + value.path("ver"));
+        }
+        List<Attempt> attempts = new ArrayList<>();
+        for (JsonNode group : value.path("on")) {
+            for (String run : group.get(3).asText().split(",")) {
+                int dash = run.indexOf('-');
+                int from = Integer.parseInt(dash < 0 ? run : run.substring(0, dash));
+                int to = dash < 0 ? from : Integer.parseInt(run.substring(dash + 1));
+                for (int task = from; task <= to; task++) {
+                    attempts.add(new Attempt(task, group.get(2).asLong(), group.get(0).asText(),
+                            group.get(1).asLong()));
+                }
+            }
+        }
+        Set<String> avoided = new LinkedHashSet<>();
+        value.path("avoid").forEach(m -> avoided.add(m.asText()));
+        JsonNode raw = value.path("job");
+        BitSet window = BitSet.valueOf(Base64.getDecoder().decode(value.path("win").asText("")));
+        return new Pipeline(SubmissionCodec.trusted(raw), raw, value.path("at").asLong(),
+                value.path("cancelled").asBoolean(), StackCodec.decode(value.path("k")), value.path("low").asInt(),
+                window, value.path("n").asLong(), attempts, value.path("fails").asInt(),
+                value.path("notBefore").asLong(), avoided);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/spoolline/pipeline/SubmissionCodec.java
@@ -0,0 +1,148 @@
+package org.spoolline.pipeline;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.LinkedHashSet;
+import java.util.Set;
+import java.util.regex.Pattern;
+import org.spoolline.net.Json;
+
+/** A submission's wire form: checked on the way in, kept in the stored value by the same names. */
+public final class SubmissionCodec {
+    private static final Pattern UID = Pattern.compile("run-[0-9]{1,30}");
+    private static final int MAX_TASKS = 100_000;
+    private static final int MAX_NAME = 200;
+
+    /** The submission is malformed; the message names the field. */
+    public static final class Malformed extends Exception {
+        private static final long serialVersionUID = 1L;
+
+        Malformed(String message) {
+            super(message, null, false, false);
+        }
+    }
+
+    private SubmissionCodec() {
+    }
+
+    public static boolean validUid(String uid) {
+        return UID.matcher(uid).matches();
+    }
+
+    /** Parses and checks a user's body. */
+    public static Submission parse(JsonNode in) throws Malformed {
+        if (!in.isObject()) {
+            throw new Malformed("the body is not a JSON object");
+        }
+        String uid = text(in, "uid");
+        if (!validUid(uid)) {
+            throw new Malformed("uid");
+        }
+        boolean gang = switch (text(in, "shape")) {
+            case "batch" -> false;
+            case "group" -> true;
+            default -> throw new Malformed("shape");
+        };
+        Submission.Priority priority = switch (text(in, "urgency")) {
+            case "critical" -> Submission.Priority.CRITICAL;
+            case "urgent" -> Submission.Priority.URGENT;
+            case "standard" -> Submission.Priority.STANDARD;
+            case "best_effort" -> Submission.Priority.BEST_EFFORT;
+            default -> throw new Malformed("urgency");
+        };
+        JsonNode slips = in.path("slips");
+        if (!slips.isIntegralNumber() || !slips.canConvertToInt() || slips.asInt() < 1 || slips.asInt() > MAX_TASKS) {
+            throw new Malformed("slips");
+        }
+        Set<String> builds = null;
+        JsonNode types = in.path("builds");
+        if (types.isArray()) {
+            builds = new LinkedHashSet<>();
+            for (JsonNode type : types) {
+                if (!type.isTextual() || type.asText().isEmpty()) {
+                    throw new Malformed("builds");
+                }
+                builds.add(type.asText());
+            }
+            if (builds.isEmpty()) {
+                throw new Malformed("builds");
+            }
+        } else if (!absent(types)) {
+            throw new Malformed("builds");
+        }
+        JsonNode yard = in.path("yard");
+        if (!absent(yard) && (!yard.isTextual() || yard.asText().isEmpty())) {
+            throw new Malformed("yard");
+        }
+        double cores = amount(in, "cores");
+        if (cores <= 0) {
+            throw new Malformed("cores");
+        }
+        Double due = absent(in.path("dueS")) ? null : Double.valueOf(amount(in, "dueS"));
+        return new Submission(uid, text(in, "lane"), text(in, "desk"), gang, priority, slips.asInt(), cores,
+                amount(in, "accelerators"), amount(in, "memGb"), text(in, "plate"), amount(in, "imageGb"), builds,
+                absent(yard) ? null : yard.asText(), flag(in, "samePlace"), flag(in, "scatter"), flag(in, "standby"),
+                amount(in, "expectS"), amount(in, "bookmarkS"), amount(in, "stashS"), due);
+    }
+
+    /** The compact stored form: the known fields only. */
+    public static ObjectNode encode(Submission s) {
+        ObjectNode out = Json.object().put("uid", s.uid()).put("lane", s.jobClass()).put("desk", s.team())
+                .put("shape", s.gang() ? "group" : "batch")
+                .put("urgency", s.priority().name().toLowerCase(java.util.Locale.ROOT)).put("slips", s.tasks())
+                .put("cores", s.cores()).put("accelerators", s.accelerators()).put("memGb", s.memoryGb())
+                .put("plate", s.image()).put("imageGb", s.imageGb()).put("samePlace", s.oneZone())
+                .put("scatter", s.spread()).put("standby", s.spot()).put("expectS", s.estimateS())
+                .put("bookmarkS", s.checkpointS()).put("stashS", s.saveS());
+        if (s.types() != null) {
+            ArrayNode types = out.putArray("builds");
+            s.types().forEach(types::add);
+        }
+        if (s.zone() != null) {
+            out.put("yard", s.zone());
+        }
+        if (s.deadlineS() != null) {
+            out.put("dueS", s.deadlineS());
+        }
+        return out;
+    }
+
+    /** Reads a stored form, which was checked before it was stored. */
+    public static Submission trusted(JsonNode stored) {
+        try {
+            return parse(stored);
+        } catch (Malformed e) {
+            throw new IllegalArgumentException("stored submission is damaged at " + e.getMessage(), e);
+        }
+    }
+
+    private static boolean absent(JsonNode node) {
+        return node.isMissingNode() || node.isNull();
+    }
+
+    private static String text(JsonNode in, String name) throws Malformed {
+        JsonNode value = in.path(name);
+        if (!value.isTextual() || value.asText().isEmpty() || value.asText().length() > MAX_NAME) {
+            throw new Malformed(name);
+        }
+        return value.asText();
+    }
+
+    private static boolean flag(JsonNode in, String name) throws Malformed {
+        JsonNode value = in.path(name);
+        if (!value.isBoolean()) {
+            throw new Malformed(name);
+        }
+        return value.asBoolean();
+    }
+
+    private static double amount(JsonNode in, String name) throws Malformed {
+        JsonNode value = in.path(name);
+        double amount = value.asDouble(-1);
+        if (!value.isNumber() || !(amount >= 0) || Double.isInfinite(amount)) {
+            throw new Malformed(name);
+        }
+        return amount;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/spoolline/placement/Placer.java
@@ -0,0 +1,225 @@
+package org.spoolline.placement;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.spoolline.fleet.MachineType;
+import org.spoolline.pipeline.Attempt;
+import org.spoolline.pipeline.Pipeline;
+import org.spoolline.pipeline.Submission;
+import org.spoolline.settings.Settings;
+import org.spoolline.workers.Machine;
+
+/** Decides what runs where: guarantees first, then priority, then release order. Pure: (picture, now) to plan. */
+public final class Placer {
+    private static final double EPSILON = 1e-6;
+    private static final String UNKNOWN_ZONE = "?";
+
+    /** One task to be started. */
+    public record Placement(int task, Machine machine) {
+    }
+
+    /** Tasks of a job that found no room, limited to what its team may run. */
+    public record Want(Pipeline job, int tasks) {
+    }
+
+    /** What to start, and what found no room, most urgent first. */
+    public record Plan(Map<String, List<Placement>> placements, List<Want> wants) {
+    }
+
+    private final Picture picture;
+    private final List<Node> nodes = new ArrayList<>();
+    private final Map<String, double[]> teamUse = new HashMap<>();
+    private final Map<String, List<Placement>> placements = new LinkedHashMap<>();
+    private final List<Want> wants = new ArrayList<>();
+
+    private Placer(Picture picture) {
+        this.picture = picture;
+    }
+
+    public static Plan plan(Picture picture) {
+        return new Placer(picture).plan();
+    }
+
+    private Plan plan() {
+        Map<String, Node> byName = new HashMap<>();
+        for (Machine m : picture.usable()) {
+            MachineType type = picture.types().get(m.type());
+            if (type != null) {
+                Node node = new Node(m, type, m.zone(), m.spot());
+                nodes.add(node);
+                byName.put(m.name(), node);
+            }
+        }
+        for (Pipeline job : picture.jobs()) {
+            double[] use = teamUse.computeIfAbsent(job.spec().team(), t -> new double[2]);
+            for (Attempt a : held(job)) {
+                use[0] += job.spec().cores();
+                use[1] += job.spec().accelerators();
+                Node node = byName.get(a.machine());
+                if (node != null) {
+                    node.take(job.spec());
+                }
+            }
+        }
+        for (Pipeline job : inOrder(picture.jobs(), picture.settings())) {
+            if (job.finished() || job.cancelled()) {
+                continue;
+            }
+            place(job);
+        }
+        return new Plan(placements, wants);
+    }
+
+    private List<Attempt> held(Pipeline job) {
+        return picture.holding().getOrDefault(job.uid(), job.attempts());
+    }
+
+    /** Release order within priority, with the jobs inside their team's guarantee first. */
+    static List<Pipeline> inOrder(List<Pipeline> jobs, Settings settings) {
+        List<Pipeline> byRelease = new ArrayList<>(jobs);
+        byRelease.sort(Comparator.comparingLong(Pipeline::acceptedAt).thenComparing(Pipeline::uid));
+        Set<String> within = within(byRelease, settings);
+        byRelease.sort(Comparator.<Pipeline>comparingInt(j -> within.contains(j.uid()) ? 0 : 1)
+                .thenComparing(j -> j.spec().priority(), Comparator.reverseOrder()));
+        return byRelease;
+    }
+
+    /** Jobs that fit their team's guarantee along with the team's earlier unfinished jobs. */
+    static Set<String> within(List<Pipeline> byRelease, Settings settings) {
+        Map<String, double[]> sums = new HashMap<>();
+        Set<String> within = new LinkedHashSet<>();
+        for (Pipeline job : byRelease) {
+            Settings.Team team = settings.teams().get(job.spec().team());
+            if (team == null || job.finished() || job.cancelled()) {
+                continue;
+            }
+            double[] sum = sums.computeIfAbsent(team.name(), t -> new double[2]);
+            sum[0] += job.spec().cores() * job.spec().tasks();
+            sum[1] += job.spec().accelerators() * job.spec().tasks();
+            if (sum[0] <= team.cores() + EPSILON && sum[1] <= team.accelerators() + EPSILON) {
+                within.add(job.uid());
+            }
+        }
+        return within;
+    }
+
+    private void place(Pipeline job) {
+        Submission spec = job.spec();
+        int ready = job.readyCount();
+        int allowed = Math.min(ready, headroom(spec));
+        if (allowed <= 0 || job.notBefore() > picture.timeOfDay() || !picture.placeable().contains(job.uid())) {
+            return;
+        }
+        if (spec.gang() && (allowed < spec.tasks() || !held(job).isEmpty())) {
+            return;
+        }
+        List<Node> fitting = new ArrayList<>();
+        for (Node node : nodes) {
+            if (node.allows(spec) && node.fits(spec) && !job.avoids(node.machine.name())) {
+                fitting.add(node);
+            }
+        }
+        // The image at hand first, then the smallest type that does, then the fullest machine, so that big machines
+        // stay free for big tasks and machines empty out.
+        fitting.sort(Comparator.<Node>comparingInt(n -> n.hasImage(spec.image()) ? 0 : 1)
+                .thenComparingDouble(n -> n.type.cores()).thenComparingDouble(n -> n.cores)
+                .thenComparing(n -> n.machine.name()));
+        List<Node> chosen = choose(job, fitting, allowed);
+        if (spec.gang() && chosen.size() < allowed) {
+            chosen.forEach(n -> n.release(spec));
+            chosen = List.of();
+        }
+        List<Integer> tasks = job.ready(chosen.size());
+        List<Placement> placed = new ArrayList<>();
+        for (int i = 0; i < tasks.size(); i++) {
+            placed.add(new Placement(tasks.get(i), chosen.get(i).machine));
+        }
+        if (!placed.isEmpty()) {
+            placements.put(job.uid(), placed);
+            double[] use = teamUse.get(spec.team());
+            use[0] += placed.size() * spec.cores();
+            use[1] += placed.size() * spec.accelerators();
+        }
+        if (placed.size() < allowed) {
+            wants.add(new Want(job, allowed - placed.size()));
+        }
+    }
+
+    /** Machines for up to {@code count} tasks, room already taken, with the job's zone conditions kept. */
+    private List<Node> choose(Pipeline job, List<Node> fitting, int count) {
+        Submission spec = job.spec();
+        if (!spec.oneZone()) {
+            return fill(job, fitting, count, null);
+        }
+        Set<String> zones = new LinkedHashSet<>();
+        held(job).forEach(a -> zones.add(zoneOf(a)));
+        if (zones.isEmpty()) {
+            fitting.forEach(n -> zones.add(n.zone));
+        } else if (zones.size() > 1) {
+            return List.of();
+        }
+        List<Node> best = List.of();
+        for (String zone : zones) {
+            List<Node> tried = fill(job, fitting, count, zone);
+            if (tried.size() == count) {
+                best.forEach(n -> n.release(spec));
+                return tried;
+            }
+            if (tried.size() > best.size()) {
+                best.forEach(n -> n.release(spec));
+                best = tried;
+            } else {
+                tried.forEach(n -> n.release(spec));
+            }
+        }
+        return best;
+    }
+
+    private List<Node> fill(Pipeline job, List<Node> fitting, int count, String zone) {
+        Submission spec = job.spec();
+        Map<String, Integer> inZone = new HashMap<>();
+        if (spec.spread()) {
+            held(job).forEach(a -> inZone.merge(zoneOf(a), 1, Integer::sum));
+        }
+        List<Node> chosen = new ArrayList<>();
+        for (Node node : fitting) {
+            if (zone != null && !zone.equals(node.zone)) {
+                continue;
+            }
+            while (chosen.size() < count && node.fits(spec)
+                    && inZone.getOrDefault(node.zone, 0) + inZone.getOrDefault(UNKNOWN_ZONE, 0) < spec.zoneLimit()) {
+                node.take(spec);
+                chosen.add(node);
+                if (spec.spread()) {
+                    inZone.merge(node.zone, 1, Integer::sum);
+                }
+            }
+        }
+        return chosen;
+    }
+
+    /** The zone of an attempt; with its machine unknown, it matches no zone and counts against each. */
+    private String zoneOf(Attempt attempt) {
+        Machine machine = picture.machines().get(attempt.machine());
+        return machine == null ? UNKNOWN_ZONE : machine.zone();
+    }
+
+    private int headroom(Submission spec) {
+        Settings.Team team = picture.settings().teams().get(spec.team());
+        if (team == null) {
+            return 0;
+        }
+        double[] use = teamUse.computeIfAbsent(spec.team(), t -> new double[2]);
+        double room = Math.floor((team.coresMax() - use[0]) / spec.cores() + EPSILON);
+        if (spec.accelerators() > 0) {
+            room = Math.min(room, Math.floor((team.acceleratorsMax() - use[1]) / spec.accelerators() + EPSILON));
+        }
+        return (int) Math.max(0, Math.min(room, Integer.MAX_VALUE));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/spoolline/placement/Rounds.java
@@ -0,0 +1,529 @@
+package org.spoolline.placement;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.spoolline.fleet.Catalog;
+import org.spoolline.fleet.Fleet;
+import org.spoolline.intake.FinalRecord;
+import org.spoolline.leadership.Leadership;
+import org.spoolline.net.Json;
+import org.spoolline.net.Loop;
+import org.spoolline.pipeline.Attempt;
+import org.spoolline.pipeline.Pipeline;
+import org.spoolline.pipeline.Submission;
+import org.spoolline.settings.Constants;
+import org.spoolline.settings.Settings;
+import org.spoolline.state.StateClient;
+import org.spoolline.workers.CheckIns;
+import org.spoolline.workers.Evidence;
+import org.spoolline.workers.Machine;
+import org.spoolline.workers.MachineTable;
+import org.spoolline.workers.TaskReport;
+
+/**
+ * The leader's rounds of decisions. Each takes all evidence that has come since the last one, steps the pipelines,
+ * places what is ready and rewrites every changed value once. Rounds widen with the number of values they change.
+ */
+public final class Rounds implements CheckIns.Stops {
+    /** Prefix of live pipelines. */
+    public static final String JOBS = "job/";
+    /** Prefix of lasting records of jobs that are over. */
+    public static final String FINALS = "final/";
+    private static final Logger LOG = LoggerFactory.getLogger(Rounds.class);
+
+    private final Loop loop;
+    private final Settings settings;
+    private final StateClient state;
+    private final Leadership leadership;
+    private final Catalog catalog;
+    private final MachineTable machines;
+    private final JobTable jobs;
+    private Fleet fleet;
+    private Runnable whenLoaded;
+
+    private long term;
+    private Evidence evidence;
+    private boolean loaded;
+    private boolean scheduled;
+    private int lastBatch;
+    private int txnsInFlight;
+    private long lastRoundAt;
+    private final Map<String, Map<Machine.Start, Double>> stops = new HashMap<>();
+    private List<Placer.Want> wants = List.of();
+
+    /** A value to be rewritten in this round. */
+    private record Change(JobTable.Entry entry, Pipeline next) {
+    }
+
+    public Rounds(Loop loop, Settings settings, StateClient state, Leadership leadership, Catalog catalog,
+                  MachineTable machines, JobTable jobs) {
+        this.loop = loop;
+        this.settings = settings;
+        this.state = state;
+        this.leadership = leadership;
+        this.catalog = catalog;
+        this.machines = machines;
+        this.jobs = jobs;
+    }
+
+    public void connect(Fleet toFleet, Runnable loadedSignal) {
+        fleet = toFleet;
+        whenLoaded = loadedSignal;
+    }
+
+    /** Forgets the picture of any earlier term and reads the live pipelines, which the election has fenced. */
+    public void elected(long token) {
+        term = token;
+        // A former leader may have kept leases alive until its keep-alive time had run out.
+        evidence = new Evidence(token, loop.now() + settings.keepAliveMs(), settings.silenceMs());
+        loaded = false;
+        txnsInFlight = 0;
+        jobs.clear();
+        machines.clear();
+        stops.clear();
+        wants = List.of();
+        load(token);
+        tick(token);
+    }
+
+    public void deposed() {
+        term = 0;
+        loaded = false;
+        jobs.clear();
+        stops.clear();
+    }
+
+    private void load(long mine) {
+        state.list(JOBS, listing -> {
+            if (term != mine) {
+                return;
+            }
+            if (!listing.reached()) {
+                loop.after(Constants.RETRY_MS, () -> {
+                    if (term == mine) {
+                        load(mine);
+                    }
+                });
+                return;
+            }
+            for (StateClient.Item item : listing.items()) {
+                jobs.seen(new StateClient.Change(item.key(), item.value(), item.version()), uid(item.key()));
+            }
+            if (!loaded) {
+                loaded = true;
+                LOG.info("{} live pipelines read under token {}", listing.items().size(), mine);
+                whenLoaded.run();
+            }
+            watch(mine, listing.revision());
+            poke();
+        });
+    }
+
+    private void watch(long mine, long after) {
+        state.watch(JOBS, after, watched -> {
+            if (term != mine) {
+                return;
+            }
+            if (watched.tooOld()) {
+                load(mine);
+                return;
+            }
+            for (StateClient.Change change : watched.changes()) {
+                jobs.seen(change, uid(change.key()));
+            }
+            if (watched.reached()) {
+                jobs.watchedUpTo(watched.revision());
+            }
+            if (!watched.changes().isEmpty()) {
+                poke();
+            }
+            loop.after(watched.reached() ? Constants.WATCH_PAUSE_MS : Constants.RETRY_MS, () -> {
+                if (term == mine) {
+                    watch(mine, watched.revision());
+                }
+            });
+        });
+    }
+
+    private static String uid(String key) {
+        return key.substring(JOBS.length());
+    }
+
+    /** Time alone is evidence: a round runs at least so often. */
+    private void tick(long mine) {
+        if (term != mine) {
+            return;
+        }
+        if (loop.now() - lastRoundAt >= Constants.ROUND_IDLE_MS) {
+            poke();
+        }
+        loop.after(Constants.ROUND_IDLE_MS, () -> tick(mine));
+    }
+
+    /** Something has changed: a round will run soon, the later the more the last one had to do. */
+    public void poke() {
+        if (scheduled || term == 0) {
+            return;
+        }
+        scheduled = true;
+        double load = Math.min(1.0, (double) lastBatch / Constants.ROUND_FULL_BATCH);
+        long width = Constants.ROUND_MIN_MS
+                + (long) (load * (Constants.ROUND_MAX_MS - Constants.ROUND_MIN_MS));
+        loop.after(width, () -> {
+            scheduled = false;
+            round();
+        });
+    }
+
+    @Override
+    public Double graceOf(Machine.Start start) {
+        return stops.getOrDefault(start.uid(), Map.of()).get(start);
+    }
+
+    private void round() {
+        if (!loaded || !leadership.valid()) {
+            return;
+        }
+        lastRoundAt = loop.now();
+        Map<String, Pipeline> working = new LinkedHashMap<>();
+        Map<String, Change> changes = new LinkedHashMap<>();
+        for (JobTable.Entry entry : jobs.entries()) {
+            if (entry.inFlight()) {
+                working.put(entry.confirmed().uid(), entry.proposed());
+                continue;
+            }
+            Pipeline next = weigh(entry);
+            working.put(entry.confirmed().uid(), next == null ? entry.confirmed() : next);
+            if (next != null) {
+                changes.put(entry.confirmed().uid(), new Change(entry, next));
+            }
+        }
+        Placer.Plan plan = Placer.plan(picture(working));
+        wants = plan.wants();
+        plan.placements().forEach((uid, placed) -> place(uid, placed, changes));
+        lastBatch = changes.size();
+        write(new ArrayList<>(changes.values()));
+        fleet.pass(wants, machinesWithWork()::contains);
+    }
+
+    /** Steps one pipeline by what is proven about its attempts; null when nothing changes. */
+    private Pipeline weigh(JobTable.Entry entry) {
+        Pipeline now = entry.confirmed();
+        Submission spec = now.spec();
+        stops.remove(now.uid());
+        Pipeline next = null;
+        for (Attempt attempt : now.attempts()) {
+            Machine machine = machines.get(attempt.machine());
+            Evidence.Finding finding = evidence.judge(now.uid(), attempt, machine, loop.now());
+            boolean unwanted = now.cancelled() || noticeStop(spec, machine, attempt, now);
+            switch (finding.verdict()) {
+                case EXITED -> {
+                    next = next == null ? now.copy() : next;
+                    exited(next, attempt, machine, finding.report());
+                }
+                case GONE -> {
+                    next = next == null ? now.copy() : next;
+                    next.remove(attempt);
+                    LOG.info("{}/{} attempt {} is gone with {}", now.uid(), attempt.task(), attempt.number(),
+                            attempt.machine());
+                }
+                case ABSENT -> {
+                    if (unwanted) {
+                        next = next == null ? now.copy() : next;
+                        next.remove(attempt);
+                    }
+                }
+                default -> {
+                }
+            }
+        }
+        Pipeline result = next == null ? now : next;
+        if (spec.gang() && !result.finished() && !result.attempts().isEmpty()) {
+            next = weighGang(now, result, next);
+        }
+        if (next == null && now.cancelled() && now.attempts().isEmpty()) {
+            next = now.copy();
+        }
+        return next;
+    }
+
+    /** A gang that has lost a member ends as a whole, and starts again once every member is proven gone. */
+    private Pipeline weighGang(Pipeline now, Pipeline result, Pipeline next) {
+        boolean broken = result.attempts().size() < now.spec().tasks();
+        boolean stopping = result.attempts().stream().anyMatch(a -> graceOf(Machine.Start.of(now.uid(), a)) != null);
+        if (!broken && !stopping) {
+            return next;
+        }
+        double grace = broken ? 0 : now.spec().saveS() + 1;
+        Pipeline changed = next;
+        for (Attempt a : List.copyOf(result.attempts())) {
+            stop(now.uid(), a, grace);
+            if (evidence.judge(now.uid(), a, machines.get(a.machine()), loop.now()).verdict()
+                    == Evidence.Verdict.ABSENT) {
+                changed = changed == null ? now.copy() : changed;
+                changed.remove(a);
+            }
+        }
+        return changed;
+    }
+
+    /** A task that can save leaves a machine that the cloud is about to take. */
+    private boolean noticeStop(Submission spec, Machine machine, Attempt attempt, Pipeline job) {
+        if (machine == null || machine.noticeS() == null) {
+            return false;
+        }
+        TaskReport report = machine.tasks().get(Machine.Start.of(job.uid(), attempt));
+        boolean started = report != null && report.phase() != TaskReport.Phase.FETCHING;
+        if (started && !spec.saves()) {
+            return false;
+        }
+        stop(job.uid(), attempt, spec.saves() ? spec.saveS() + 1 : 0);
+        return true;
+    }
+
+    private void stop(String uid, Attempt attempt, double grace) {
+        stops.computeIfAbsent(uid, u -> new HashMap<>()).put(Machine.Start.of(uid, attempt), grace);
+    }
+
+    private void exited(Pipeline next, Attempt attempt, Machine machine, TaskReport report) {
+        next.remove(attempt);
+        String uid = next.uid();
+        switch (report.cause()) {
+            case DONE -> {
+                machine.completed();
+                if (!next.cancelled()) {
+                    if (next.spec().gang()) {
+                        // The protocol: a gang completes together; if one task is done, every one is.
+                        for (int task = 0; task < next.spec().tasks(); task++) {
+                            next.complete(task);
+                        }
+                    } else {
+                        next.complete(attempt.task());
+                    }
+                }
+            }
+            case ERROR -> {
+                LOG.info("{}/{} attempt {} failed on {}", uid, attempt.task(), attempt.number(), machine.name());
+                next.fail(machine.name(), loop.timeOfDay());
+                // A job that fails everywhere says little about a machine; several jobs failing on one do.
+                if (machine.failed(uid) >= Constants.MACHINE_ERROR_JOBS && !machine.draining()) {
+                    LOG.info("machine {} fails tasks of several jobs and is emptied", machine.name());
+                    machine.drain();
+                }
+            }
+            case NO_ROOM, BUSY, UNKNOWN -> {
+                LOG.info("{}/{} attempt {} refused by {}: {}", uid, attempt.task(), attempt.number(), machine.name(),
+                        report.cause());
+                next.pauseUntil(loop.timeOfDay() + Constants.REFUSED_START_MS);
+            }
+            case STOPPED, PEERS_GONE, ALONE -> LOG.info("{}/{} attempt {} ended on {}: {}{}", uid, attempt.task(),
+                    attempt.number(), machine.name(), report.cause(), report.saved() ? ", saved" : "");
+        }
+    }
+
+    private Picture picture(Map<String, Pipeline> working) {
+        Map<String, List<Attempt>> holding = new HashMap<>();
+        Set<String> placeable = new HashSet<>();
+        List<Pipeline> all = new ArrayList<>();
+        for (Map.Entry<String, Pipeline> e : working.entrySet()) {
+            JobTable.Entry entry = jobs.get(e.getKey());
+            if (entry.inFlight()) {
+                Set<Attempt> union = new HashSet<>(entry.confirmed().attempts());
+                union.addAll(entry.proposed().attempts());
+                holding.put(e.getKey(), List.copyOf(union));
+            } else {
+                placeable.add(e.getKey());
+            }
+            all.add(e.getValue());
+        }
+        List<Machine> usable = new ArrayList<>();
+        for (Machine m : machines.all()) {
+            if (!m.gone() && !m.draining() && m.heard() && m.noticeS() == null
+                    && loop.now() - m.heardAt() < Constants.QUIET_MS) {
+                usable.add(m);
+            }
+        }
+        return new Picture(all, holding, placeable, machines.byName(), usable, catalog.types(), settings,
+                loop.timeOfDay());
+    }
+
+    private void place(String uid, List<Placer.Placement> placed, Map<String, Change> changes) {
+        JobTable.Entry entry = jobs.get(uid);
+        Change change = changes.get(uid);
+        Pipeline next = change == null ? entry.confirmed().copy() : change.next();
+        long number = next.nextAttempt();
+        Submission spec = next.spec();
+        List<Attempt> added = new ArrayList<>();
+        for (Placer.Placement p : placed) {
+            Attempt attempt = new Attempt(p.task(), number, p.machine().name(), p.machine().session());
+            next.place(attempt);
+            added.add(attempt);
+            double cache = catalog.types().get(p.machine().type()).cacheGb();
+            p.machine().useImage(spec.image(), spec.imageGb(), cache);
+        }
+        // The value has a limit; what does not fit waits for the next rounds, and completions always fit.
+        int limit = (int) (settings.state().valueBytes() * Constants.VALUE_FILL);
+        while (!added.isEmpty() && Json.bytes(next.encode()).length > limit) {
+            int drop = spec.gang() ? added.size() : (added.size() + 1) / 2;
+            for (int i = 0; i < drop; i++) {
+                next.remove(added.remove(added.size() - 1));
+            }
+        }
+        if (!added.isEmpty() && change == null) {
+            changes.put(uid, new Change(entry, next));
+        }
+        LOG.info("placed {} of {} tasks of {} as attempt {}", added.size(), placed.size(), uid, number);
+    }
+
+    private Set<String> machinesWithWork() {
+        Set<String> busy = new HashSet<>();
+        for (JobTable.Entry entry : jobs.entries()) {
+            entry.confirmed().attempts().forEach(a -> busy.add(a.machine()));
+            if (entry.inFlight()) {
+                entry.proposed().attempts().forEach(a -> busy.add(a.machine()));
+            }
+        }
+        return busy;
+    }
+
+    private static boolean over(Pipeline p) {
+        return p.finished() || p.cancelled() && p.attempts().isEmpty();
+    }
+
+    /** Writes the changes in few transactions; what the budget does not carry is decided again next round. */
+    private void write(List<Change> changes) {
+        int allowance = state.changesLeft();
+        List<Change> batch = new ArrayList<>();
+        int ops = 0;
+        int bytes = 0;
+        for (Change change : changes) {
+            int cost = over(change.next()) ? 2 : 1;
+            int size = over(change.next()) ? 512 : Json.bytes(change.next().encode()).length + 128;
+            if (allowance < cost || txnsInFlight >= Constants.TXNS_IN_FLIGHT) {
+                break;
+            }
+            if (ops + cost > settings.state().txnOps() || bytes + size > Constants.TXN_BYTES) {
+                send(batch, ops);
+                batch = new ArrayList<>();
+                ops = 0;
+                bytes = 0;
+            }
+            batch.add(change);
+            ops += cost;
+            bytes += size;
+            allowance -= cost;
+        }
+        if (!batch.isEmpty() && txnsInFlight < Constants.TXNS_IN_FLIGHT) {
+            send(batch, ops);
+        }
+    }
+
+    private void send(List<Change> batch, int ops) {
+        StateClient.Txn txn = new StateClient.Txn().require(Leadership.LEADER_KEY, leadership.keyVersion());
+        for (Change change : batch) {
+            String uid = change.next().uid();
+            txn.require(JOBS + uid, change.entry().version());
+            if (over(change.next())) {
+                ObjectNode record = FinalRecord.of(change.next()).encode();
+                txn.delete(JOBS + uid).put(FINALS + uid, record);
+            } else {
+                txn.put(JOBS + uid, change.next().encode());
+            }
+            jobs.propose(change.entry(), change.next());
+        }
+        txnsInFlight++;
+        state.force(ops);
+        commit(txn, batch, ops, term, false);
+    }
+
+    /** {@code unsure}: an earlier copy got no answer, so it may have been applied, or may yet be. */
+    private void commit(StateClient.Txn txn, List<Change> batch, int ops, long mine, boolean unsure) {
+        state.commit(txn, outcome -> {
+            if (term != mine) {
+                return;
+            }
+            StateClient.Fate fate = outcome.fate();
+            if (fate == StateClient.Fate.UNKNOWN || unsure && fate == StateClient.Fate.REFUSED) {
+                // The very same one is applied once at most, for its conditions; it is sent until that is decided.
+                LOG.info("no answer to a transaction of {} jobs, sent again", batch.size());
+                loop.after(Constants.RETRY_MS, () -> {
+                    if (term == mine) {
+                        state.force(ops);
+                        commit(txn, batch, ops, mine, true);
+                    }
+                });
+                return;
+            }
+            txnsInFlight--;
+            if (fate == StateClient.Fate.APPLIED) {
+                batch.forEach(change -> applied(change, outcome.revision()));
+            } else if (fate == StateClient.Fate.CONFLICT) {
+                conflict(batch, outcome.failed(), mine);
+            } else {
+                LOG.info("a transaction of {} jobs was refused: {}", batch.size(), fate);
+                batch.forEach(change -> jobs.abandoned(change.entry()));
+            }
+            poke();
+        });
+    }
+
+    private void applied(Change change, long revision) {
+        Pipeline next = change.next();
+        if (over(next)) {
+            LOG.info("{} is over: {}", next.uid(), next.finished() ? "done" : "cancelled");
+            jobs.drop(next.uid(), revision);
+            stops.remove(next.uid());
+        } else {
+            jobs.applied(change.entry(), revision);
+        }
+    }
+
+    /** Jobs with newer values are read again; for the others the failed condition rules out any late copy. */
+    private void conflict(List<Change> batch, List<String> failed, long mine) {
+        if (failed.contains(Leadership.LEADER_KEY)) {
+            leadership.depose("the leader key is not ours any more");
+            return;
+        }
+        LOG.info("a transaction of {} jobs met newer values: {}", batch.size(), failed);
+        for (Change change : batch) {
+            if (failed.contains(JOBS + change.next().uid())) {
+                reread(change, mine);
+            } else {
+                jobs.abandoned(change.entry());
+            }
+        }
+    }
+
+    private void reread(Change change, long mine) {
+        String uid = change.next().uid();
+        state.force(0);
+        state.get(JOBS + uid, read -> {
+            if (term != mine) {
+                return;
+            }
+            if (!read.reached()) {
+                loop.after(Constants.RETRY_MS, () -> {
+                    if (term == mine) {
+                        reread(change, mine);
+                    }
+                });
+                return;
+            }
+            jobs.abandoned(change.entry());
+            if (read.item().exists()) {
+                jobs.seen(new StateClient.Change(JOBS + uid, read.item().value(), read.item().version()), uid);
+            } else {
+                jobs.drop(uid, change.entry().version());
+            }
+            poke();
+        });
+    }
+}
--- /dev/null
+++ b/src/main/java/org/spoolline/settings/Constants.java
@@ -0,0 +1,112 @@
+package org.spoolline.settings;
+
+import java.nio.charset.StandardCharsets;
+
+/** Every constant of the program, with its unit and the reason for its value. */
+public final class Constants {
+    private Constants() {
+    }
+
+    /** Bytes: the protocol's bound on a request body. */
+    public static final int MAX_BODY_BYTES = 64 * 1024;
+    /** Answer to a body over the bound. */
+    public static final byte[] BODY_TOO_LARGE = "{\"error\":\"body over 64 KiB\"}".getBytes(StandardCharsets.UTF_8);
+    /** Bytes read from a response at once: most answers fit, and the buffer is short-lived. */
+    public static final int READ_CHUNK_BYTES = 4096;
+    /** Bytes of one pooled network buffer: a check-in fits, and a thousand connections stay affordable. */
+    public static final int BUFFER_BYTES = 4096;
+    /** Buffers kept in the pool: bounds idle memory at 1 MiB. */
+    public static final int BUFFERS_KEPT = 256;
+
+    /** Ms of a leadership lease: short enough to replace a dead leader soon, long enough for a starved core. */
+    public static final long LEADERSHIP_MS = 5_000;
+    /** Ms between renewals of the leadership lease: four tries within its time. */
+    public static final long RENEW_MS = 1_000;
+    /** Ms taken off every time bound for timer steps and scheduling delay. */
+    public static final long MARGIN_MS = 500;
+    /** Relative drift between two steady clocks, doubled for safety (the protocol allows 0.0005). */
+    public static final double DRIFT = 0.001;
+    /** Ms kept free between the end of the longest chain of leases and the cancellation bound. */
+    public static final long CANCEL_RESERVE_MS = 6_000;
+    /** Ms a candidate waits at random before it stands, so that not all stand at once. */
+    public static final long STAND_SPREAD_MS = 300;
+    /** Ms a state request may take before it is given up: answers usually take 10 ms, seldom hundreds. */
+    public static final long STATE_TIMEOUT_MS = 2_000;
+    /** Ms a watch stays open. */
+    public static final long WATCH_MS = 20_000;
+    /** Ms after which an unanswered watch is given up beyond its own time: outages hold watches open. */
+    public static final long WATCH_SLACK_MS = 5_000;
+    /** Ms between two watches, so that a burst of changes arrives in one answer. */
+    public static final long WATCH_PAUSE_MS = 30;
+    /** Ms before a failed state request of a loop is tried again. */
+    public static final long RETRY_MS = 500;
+    /** Share of the state budget for the leader; the rest is split among the other nodes. */
+    public static final double LEADER_BUDGET_SHARE = 0.6;
+    /** Bytes of one transaction that we fill at most: the protocol allows 64 KiB. */
+    public static final int TXN_BYTES = 56 * 1024;
+    /** Transactions in flight at once for the leader: keeps one slow answer from stopping the rounds. */
+    public static final int TXNS_IN_FLIGHT = 4;
+    /** Ms a node may be without the state service before it calls itself unable to serve. */
+    public static final long STATE_LOST_MS = 4_000;
+    /** Ms between two looks at the peers. */
+    public static final long PEER_PING_MS = 2_000;
+    /** Ms a peer may take to answer. */
+    public static final long PEER_TIMEOUT_MS = 1_500;
+
+    /** Ms of the shortest round of decisions. */
+    public static final long ROUND_MIN_MS = 40;
+    /** Ms of the widest round of decisions, reached under load. */
+    public static final long ROUND_MAX_MS = 400;
+    /** Changed jobs per round at which a round has widened to its maximum. */
+    public static final int ROUND_FULL_BATCH = 24;
+    /** Ms between rounds without any event: time alone (silence, idleness) is evidence too. */
+    public static final long ROUND_IDLE_MS = 1_000;
+
+    /** Tasks past the first unfinished one that may be active: bounds the stored join. */
+    public static final int JOIN_WINDOW = 8192;
+    /** Share of the value limit that new placements may fill; completions need the rest. */
+    public static final double VALUE_FILL = 0.85;
+    /** Ms of the first pause after a task failed; doubles with each further failure. */
+    public static final long FAILURE_PAUSE_MS = 1_000;
+    /** Doublings after which the pause stops growing. */
+    public static final int FAILURE_PAUSE_DOUBLINGS = 5;
+    /** Machines remembered as bad for a job. */
+    public static final int AVOIDED_MACHINES = 8;
+    /** Errors from different jobs after which a machine is emptied and returned. */
+    public static final int MACHINE_ERROR_JOBS = 2;
+
+    /** Ms between two machine lists, at least; the lag of the list makes more pointless. */
+    public static final long LIST_MIN_MS = 3_000;
+    /** Ms a cloud request may take: a deletion ends machines before it answers. */
+    public static final long CLOUD_TIMEOUT_MS = 8_000;
+    /** Ms a refused type, zone and kind is left alone. */
+    public static final long REFUSED_MS = 8_000;
+    /** Machines of one rental request, by the protocol. */
+    public static final int RENT_MAX = 50;
+    /** Machines of one deletion request, by the protocol. */
+    public static final int DELETE_MAX = 100;
+    /** Ms an idle machine is kept: work arrives in bursts, and a boot costs more than a short wait. */
+    public static final long IDLE_MS = 20_000;
+    /** Ms every machine costs at least; younger ones gain nothing by an early return. */
+    public static final long MIN_CHARGE_MS = 60_000;
+    /** Times the nominal boot time after which a machine is given up. */
+    public static final double BOOT_PATIENCE = 4.0;
+    /** Ms without a check-in after which no new work goes to a machine: two reports missed. */
+    public static final long QUIET_MS = 8_000;
+    /** Ms without a check-in after which a machine that should run is returned. */
+    public static final long LOST_MS = 60_000;
+    /** Ms after which an idle node asks the state service for a sign of life. */
+    public static final long STATE_PROBE_MS = 1_500;
+    /** Ms between two readings of the machine types: spot prices move slowly. */
+    public static final long TYPES_MS = 60_000;
+    /** Share of the cloud's budget for the leader; the rest is for the others' start. */
+    public static final double CLOUD_LEADER_SHARE = 0.8;
+    /** Ms that a machine's job is left alone after a start was refused: the report will settle it. */
+    public static final long REFUSED_START_MS = 2_000;
+    /** Tries of a user's cancellation against concurrent rewrites before the user is told to come back. */
+    public static final int CANCEL_TRIES = 5;
+    /** Final states remembered by a node, so that late polls cost no request. */
+    public static final int FINALS_CACHED = 4_096;
+    /** Seconds of retry advice when the service can't take a request now. */
+    public static final int RETRY_AFTER_S = 2;
+}
--- /dev/null
+++ b/src/main/java/org/spoolline/settings/Settings.java
@@ -0,0 +1,52 @@
+package org.spoolline.settings;
+
+import java.util.List;
+import java.util.Map;
+
+/** The checked settings of one node, from the platform's file. */
+public record Settings(String node, String zone, String serveOn, String internalAddress, List<Peer> peers,
+                       String cloudAddress, String stateAddress, int nodes, Map<String, Team> teams,
+                       List<Objective> objectives, Workers workers, State state, Cloud cloud, Quota quota) {
+
+    /** Another controller. */
+    public record Peer(String node, String address) {
+    }
+
+    /** A team's guarantee and limit. */
+    public record Team(String name, double cores, double coresMax, double accelerators, double acceleratorsMax) {
+    }
+
+    /** What is expected of a class of jobs; {@code jobClass} is null for the guarantee. */
+    public record Objective(String kind, String jobClass, double withinS, double share) {
+    }
+
+    /** Times of the workers, in milliseconds. */
+    public record Workers(long reportMs, long leaseMs, long gangWaitMs, long gangPeerMs, long cancelMs) {
+    }
+
+    /** Limits of the state service. */
+    public record State(double requestsPerS, double writesPerS, int valueBytes, int txnOps) {
+    }
+
+    /** Limits of the cloud. */
+    public record Cloud(double requestsPerS, long listLagMs) {
+    }
+
+    /** Limits of this process. */
+    public record Quota(double cpuShare, double memoryMb, int sockets) {
+    }
+
+    /**
+     * Ms for which a leader that lost the state service may go on answering workers so that their leases live,
+     * on top of its leadership time. Leadership, this and the workers' lease together stay under cancel_s.
+     */
+    public long keepAliveMs() {
+        return Math.max(0, workers.cancelMs() - workers.leaseMs() - Constants.LEADERSHIP_MS
+                - Constants.CANCEL_RESERVE_MS);
+    }
+
+    /** Ms after which a worker not answered has ended all its tasks, with drift and margin. */
+    public long silenceMs() {
+        return (long) (workers.leaseMs() * (1 + Constants.DRIFT)) + Constants.MARGIN_MS;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/spoolline/settings/SettingsException.java
@@ -0,0 +1,10 @@
+package org.spoolline.settings;
+
+/** The settings can't be used; the message is one line that names the file or the field. */
+public final class SettingsException extends Exception {
+    private static final long serialVersionUID = 1L;
+
+    public SettingsException(String message) {
+        super(message);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/spoolline/state/StateClient.java
@@ -0,0 +1,253 @@
+package org.spoolline.state;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import org.spoolline.net.Http;
+import org.spoolline.net.Json;
+import org.spoolline.net.Loop;
+import org.spoolline.settings.Constants;
+import org.spoolline.settings.Settings;
+
+/** The state service by its protocol, with the node's share of its budget. */
+public final class StateClient {
+    /** A stored value; version 0 says that the key does not exist. */
+    public record Item(String key, JsonNode value, long version) {
+        public boolean exists() {
+            return version != 0;
+        }
+    }
+
+    /** What became of a transaction. UNKNOWN: it may have been applied, or may yet be. REFUSED: it was not. */
+    public enum Fate { APPLIED, CONFLICT, REFUSED, NO_LEASE, UNKNOWN }
+
+    /** A transaction's answer; {@code revision} is that of an applied one. */
+    public record Outcome(Fate fate, long revision, List<String> failed) {
+    }
+
+    /** A transaction under construction. */
+    public static final class Txn {
+        private final ArrayNode conditions = Json.array();
+        private final ArrayNode writes = Json.array();
+
+        public Txn require(String key, long version) {
+            conditions.addObject().put("key", key).put("stamp", version);
+            return this;
+        }
+
+        public Txn put(String key, JsonNode value) {
+            writes.addObject().put("set", key).set("v", value);
+            return this;
+        }
+
+        public Txn putLeased(String key, JsonNode value, long lease) {
+            ObjectNode write = writes.addObject().put("set", key).put("ticket", lease);
+            write.set("v", value);
+            return this;
+        }
+
+        public Txn delete(String key) {
+            writes.addObject().put("remove", key);
+            return this;
+        }
+
+        public int changes() {
+            return writes.size();
+        }
+
+        byte[] body() {
+            ObjectNode body = Json.object();
+            body.set("if", conditions);
+            body.set("writes", writes);
+            return Json.bytes(body);
+        }
+    }
+
+    /** Answer to a read: {@code reached} is false when the service gave none. */
+    public record Read(boolean reached, Item item) {
+    }
+
+    /** Answer to a listing. */
+    public record Listing(boolean reached, List<Item> items, long revision) {
+    }
+
+    /** One change seen by a watch; a null value is a deletion. */
+    public record Change(String key, JsonNode value, long version) {
+    }
+
+    /** Answer to a watch; {@code tooOld} asks for a fresh listing. */
+    public record Watched(boolean reached, boolean tooOld, List<Change> changes, long revision) {
+    }
+
+    private final Loop loop;
+    private final Http.Caller http;
+    private final String address;
+    private final Settings.State limits;
+    private final int nodes;
+    private final RateBudget requests;
+    private final RateBudget changes;
+    private long lastReached;
+    private boolean everReached;
+
+    public StateClient(Loop loop, Http.Caller http, Settings settings) {
+        this.loop = loop;
+        this.http = http;
+        this.address = settings.stateAddress();
+        this.limits = settings.state();
+        this.nodes = Math.max(1, settings.nodes());
+        this.requests = new RateBudget(1, loop.now());
+        this.changes = new RateBudget(1, loop.now());
+        this.lastReached = loop.now();
+        leading(false);
+    }
+
+    /** Sets this node's share of the budget. */
+    public void leading(boolean leads) {
+        double share = nodes == 1 ? 1 : leads ? Constants.LEADER_BUDGET_SHARE
+                : (1 - Constants.LEADER_BUDGET_SHARE) / (nodes - 1);
+        requests.rate(limits.requestsPerS() * share, loop.now());
+        changes.rate(limits.writesPerS() * share, loop.now());
+    }
+
+    /** True while an answer other than a refusal came lately. */
+    public boolean reachable() {
+        return everReached && loop.now() - lastReached < Constants.STATE_LOST_MS;
+    }
+
+    /** Asks for a sign of life when none came lately. */
+    public void probe() {
+        if (loop.now() - lastReached >= Constants.STATE_PROBE_MS || !everReached) {
+            force(0);
+            get("token", read -> { });
+        }
+    }
+
+    /** Takes budget for one request with so many changes; false: spent, come back later. */
+    public boolean admit(int writes) {
+        long now = loop.now();
+        if (requests.left(now) < 1 || changes.left(now) < writes) {
+            return false;
+        }
+        requests.take(1, now);
+        changes.take(writes, now);
+        return true;
+    }
+
+    /** Changes that the budget holds right now. */
+    public int changesLeft() {
+        return (int) Math.max(0, Math.min(changes.left(loop.now()), requests.left(loop.now()) * limits.txnOps()));
+    }
+
+    /** Reads one key; budget is taken by the caller through {@link #admit}. */
+    public void get(String key, Consumer<Read> done) {
+        send("GET", "/keys/" + key, null, Constants.STATE_TIMEOUT_MS, reply -> {
+            if (reply.ok()) {
+                JsonNode body = Json.read(reply.body());
+                done.accept(new Read(true, new Item(key, body.path("v"), body.path("stamp").asLong())));
+            } else if (reply.status() == 404) {
+                done.accept(new Read(true, new Item(key, null, 0)));
+            } else {
+                done.accept(new Read(false, null));
+            }
+        });
+    }
+
+    /** Reads everything under a prefix, page by page. The revision is that of the first page. */
+    public void list(String prefix, Consumer<Listing> done) {
+        page(prefix, "", new ArrayList<>(), 0, done);
+    }
+
+    private void page(String prefix, String after, List<Item> items, long firstRevision, Consumer<Listing> done) {
+        requests.force(1, loop.now());
+        String path = "/keys?prefix=" + prefix + (after.isEmpty() ? "" : "&after=" + after) + "&most=500";
+        send("GET", path, null, Constants.STATE_TIMEOUT_MS, reply -> {
+            if (!reply.ok()) {
+                done.accept(new Listing(false, List.of(), 0));
+                return;
+            }
+            JsonNode body = Json.read(reply.body());
+            long revision = firstRevision == 0 ? body.path("ledger").asLong() : firstRevision;
+            for (JsonNode pair : body.path("pairs")) {
+                items.add(new Item(pair.path("key").asText(), pair.path("v"), pair.path("stamp").asLong()));
+            }
+            if (body.path("hasNext").asBoolean() && !items.isEmpty()) {
+                page(prefix, items.get(items.size() - 1).key(), items, revision, done);
+            } else {
+                done.accept(new Listing(true, items, revision));
+            }
+        });
+    }
+
+    /** Sends a transaction; budget is taken by the caller through {@link #admit} or {@link #force}. */
+    public void commit(Txn txn, Consumer<Outcome> done) {
+        send("POST", "/commit", txn.body(), Constants.STATE_TIMEOUT_MS, reply -> {
+            JsonNode body = Json.read(reply.body());
+            switch (reply.status()) {
+                case 200 -> done.accept(new Outcome(Fate.APPLIED, body.path("ledger").asLong(), List.of()));
+                case 409 -> {
+                    List<String> failed = new ArrayList<>();
+                    body.path("failed").forEach(f -> failed.add(f.asText()));
+                    done.accept(new Outcome(Fate.CONFLICT, 0, failed));
+                }
+                case 400 -> done.accept(new Outcome(Fate.NO_LEASE, 0, List.of()));
+                case 429, 503 -> done.accept(new Outcome(Fate.REFUSED, 0, List.of()));
+                default -> done.accept(new Outcome(Fate.UNKNOWN, 0, List.of()));
+            }
+        });
+    }
+
+    /** Takes budget even into debt, for leadership. */
+    public void force(int writes) {
+        requests.force(1, loop.now());
+        changes.force(writes, loop.now());
+    }
+
+    /** Creates a lease; 0 when it failed. */
+    public void createLease(long ttlMs, Consumer<Long> done) {
+        force(0);
+        send("POST", "/leases", Json.bytes(Json.object().put("ttlMs", ttlMs)), Constants.STATE_TIMEOUT_MS,
+                reply -> done.accept(reply.ok() ? Json.read(reply.body()).path("ticket").asLong() : 0L));
+    }
+
+    /** Renews a lease; the answer is the status, 0 for none. */
+    public void renewLease(long lease, Consumer<Integer> done) {
+        force(0);
+        send("POST", "/leases/" + lease + "/touch", Json.bytes(Json.object()), Constants.RENEW_MS,
+                reply -> done.accept(reply.status()));
+    }
+
+    /** Waits for changes under a prefix after a revision. */
+    public void watch(String prefix, long after, Consumer<Watched> done) {
+        requests.force(1, loop.now());
+        send("GET", "/follow?prefix=" + prefix + "&after=" + after + "&waitMs=" + Constants.WATCH_MS, null,
+                Constants.WATCH_MS + Constants.WATCH_SLACK_MS, reply -> {
+                    if (!reply.ok()) {
+                        done.accept(new Watched(false, reply.status() == 410, List.of(), after));
+                        return;
+                    }
+                    JsonNode body = Json.read(reply.body());
+                    List<Change> seen = new ArrayList<>();
+                    for (JsonNode event : body.path("log")) {
+                        boolean set = event.has("set");
+                        seen.add(new Change(event.path(set ? "set" : "remove").asText(),
+                                set ? event.path("v") : null, event.path("stamp").asLong()));
+                    }
+                    done.accept(new Watched(true, false, seen, body.path("ledger").asLong()));
+                });
+    }
+
+    private void send(String method, String path, byte[] body, long timeoutMs, Consumer<Http.Reply> done) {
+        long sent = loop.now();
+        http.call(address, method, path, body, timeoutMs, reply -> {
+            if (reply.status() != 0 && reply.status() != 503 && reply.status() != 429) {
+                // A watch answers long after it was sent; it proves the service at the time of the answer.
+                lastReached = Math.max(lastReached, path.startsWith("/follow") ? loop.now() : sent);
+                everReached = true;
+            }
+            done.accept(reply);
+        });
+    }
+}
--- /dev/null
+++ b/src/main/java/org/spoolline/workers/CheckIns.java
@@ -0,0 +1,157 @@
+package org.spoolline.workers;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.spoolline.leadership.Leadership;
+import org.spoolline.net.Http;
+import org.spoolline.net.Json;
+import org.spoolline.net.Loop;
+import org.spoolline.pipeline.Attempt;
+import org.spoolline.placement.JobTable;
+
+/**
+ * Answers the workers' check-ins. Wanted: each machine holds just the attempts stored for it; the orders are the
+ * difference to what it reports. Launches travel only here, so none is ever carried out late.
+ */
+public final class CheckIns {
+    private static final Logger LOG = LoggerFactory.getLogger(CheckIns.class);
+    /** Orders in one answer: keeps its single line well under 64 KiB. */
+    private static final int MAX_ORDERS = 400;
+
+    /** Which stored attempts are to end, with the grace in seconds; null for those that are to go on. */
+    public interface Stops {
+        Double graceOf(Machine.Start start);
+    }
+
+    private final Loop loop;
+    private final Leadership leadership;
+    private final MachineTable machines;
+    private final JobTable jobs;
+    private final Stops stops;
+    private final Runnable news;
+    private boolean ready;
+
+    public CheckIns(Loop loop, Leadership leadership, MachineTable machines, JobTable jobs, Stops stops,
+                    Runnable news) {
+        this.loop = loop;
+        this.leadership = leadership;
+        this.machines = machines;
+        this.jobs = jobs;
+        this.stops = stops;
+        this.news = news;
+    }
+
+    /** Orders are given only once the live pipelines have been read under the present token. */
+    public void ready(boolean value) {
+        ready = value;
+    }
+
+    public void handle(Http.Request request, Consumer<Http.Response> answer) {
+        Report report = Report.parse(Json.read(request.body()));
+        if (report == null) {
+            answer.accept(Http.Response.of(400, error("not a check-in")));
+            return;
+        }
+        leadership.sawToken(report.token());
+        if (!leadership.mayKeepAlive()) {
+            redirect(answer);
+            return;
+        }
+        Machine machine = machines.meet(report.machine(), report.type(), report.zone(), report.spot(), loop.now());
+        if (machine.gone()) {
+            // Its attempts may have been started elsewhere: renewing its lease could bring a task to life twice.
+            answer.accept(new Http.Response(503, error("machine is gone"), 0));
+            return;
+        }
+        boolean first = !machine.heard();
+        boolean newer = machine.accept(report, loop.now());
+        if (first) {
+            machine.busyAt(loop.now());
+            LOG.info("machine {} {} in {} is up, session {}", machine.name(), machine.type(), machine.zone(),
+                    machine.session());
+        }
+        ObjectNode body = Json.object().put("baton", leadership.token());
+        ArrayNode orders = body.putArray("orders");
+        if (newer && ready && leadership.valid()) {
+            give(machine, orders);
+        }
+        machine.answered(loop.now());
+        answer.accept(Http.Response.of(200, Json.bytes(body)));
+        if (newer) {
+            news.run();
+        }
+    }
+
+    private void redirect(Consumer<Http.Response> answer) {
+        String leader = leadership.knownLeader();
+        if (leader == null) {
+            answer.accept(Http.Response.of(503, error("no leader is known")));
+        } else {
+            answer.accept(Http.Response.of(421, Json.bytes(Json.object().put("foreman", leader))));
+        }
+    }
+
+    private void give(Machine machine, ArrayNode orders) {
+        Map<Machine.Start, Attempt> stored = jobs.on(machine.name());
+        for (TaskReport t : machine.tasks().values()) {
+            Machine.Start start = new Machine.Start(t.uid(), t.task(), t.attempt());
+            Attempt attempt = stored.get(start);
+            boolean kept = attempt != null && attempt.session() == machine.session();
+            if (t.phase() == TaskReport.Phase.EXITED) {
+                if (!kept) {
+                    order(orders, "clear", start);
+                }
+                continue;
+            }
+            Double grace = kept ? grace(start, attempt) : Double.valueOf(0);
+            if (grace != null && !(t.phase() == TaskReport.Phase.SAVING && grace > 0)) {
+                order(orders, "kill", start).put("windDownS", grace);
+                LOG.info("stop {}/{} attempt {} on {}, grace {} s", t.uid(), t.task(), t.attempt(), machine.name(),
+                        grace);
+            }
+        }
+        for (Map.Entry<Machine.Start, Attempt> e : stored.entrySet()) {
+            Machine.Start start = e.getKey();
+            if (orders.size() < MAX_ORDERS && e.getValue().session() == machine.session()
+                    && !machine.tasks().containsKey(start) && grace(start, e.getValue()) == null
+                    && noOtherAttempt(machine, start)) {
+                order(orders, "launch", start);
+                machine.launched(start);
+                LOG.debug("launch {}/{} attempt {} on {}", start.uid(), start.task(), start.attempt(),
+                        machine.name());
+            }
+        }
+    }
+
+    /** Null when the attempt is to go on, else the grace its end may take. */
+    private Double grace(Machine.Start start, Attempt attempt) {
+        JobTable.Entry entry = jobs.get(start.uid());
+        if (entry == null || entry.cancelled() || !entry.holds(attempt)) {
+            return 0.0;
+        }
+        return stops.graceOf(start);
+    }
+
+    private static boolean noOtherAttempt(Machine machine, Machine.Start wanted) {
+        for (TaskReport t : machine.tasks().values()) {
+            if (t.task() == wanted.task() && t.uid().equals(wanted.uid()) && t.attempt() != wanted.attempt()
+                    && t.phase() != TaskReport.Phase.EXITED) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private static ObjectNode order(ArrayNode orders, String verb, Machine.Start start) {
+        return orders.addObject().put("verb", verb).put("slip", start.uid() + "/" + start.task())
+                .put("try", start.attempt());
+    }
+
+    private static byte[] error(String why) {
+        return Json.bytes(Json.object().put("error", why));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/spoolline/workers/Machine.java
@@ -0,0 +1,214 @@
+package org.spoolline.workers;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.spoolline.pipeline.Attempt;
+
+/** What the leader knows of one machine. Changed on the loop only. */
+public final class Machine {
+    /** One task's start, whatever its machine. */
+    public record Start(String uid, int task, long attempt) {
+        public static Start of(String uid, Attempt attempt) {
+            return new Start(uid, attempt.task(), attempt.number());
+        }
+    }
+
+    private final String name;
+    private final String type;
+    private final String zone;
+    private final boolean spot;
+    private String address = "";
+    private long session = -1;
+    private long tick = -1;
+    private long reportedToken = -1;
+    private Map<Start, TaskReport> tasks = Map.of();
+    private Double noticeS;
+    private long heardAt = -1;
+    private long answeredAt = -1;
+    private boolean gone;
+    private boolean draining;
+    private final Map<Start, Long> launchTicks = new HashMap<>();
+    private final Set<String> errorJobs = new HashSet<>();
+    private final LinkedHashMap<String, Double> images = new LinkedHashMap<>();
+    private final long knownSince;
+    private long idleSince;
+    private long listedAt = -1;
+
+    public Machine(String name, String type, String zone, boolean spot, long knownSince) {
+        this.name = name;
+        this.type = type;
+        this.zone = zone;
+        this.spot = spot;
+        this.knownSince = knownSince;
+        this.idleSince = knownSince;
+    }
+
+    public String name() {
+        return name;
+    }
+
+    public String type() {
+        return type;
+    }
+
+    public String zone() {
+        return zone;
+    }
+
+    public boolean spot() {
+        return spot;
+    }
+
+    public String address() {
+        return address;
+    }
+
+    public long session() {
+        return session;
+    }
+
+    public long tick() {
+        return tick;
+    }
+
+    /** Tasks of the newest report. */
+    public Map<Start, TaskReport> tasks() {
+        return tasks;
+    }
+
+    public Double noticeS() {
+        return noticeS;
+    }
+
+    public boolean heard() {
+        return heardAt >= 0;
+    }
+
+    public long heardAt() {
+        return heardAt;
+    }
+
+    public long answeredAt() {
+        return answeredAt;
+    }
+
+    public void answered(long now) {
+        answeredAt = now;
+    }
+
+    /** True once the machine and everything on it is proven gone. */
+    public boolean gone() {
+        return gone;
+    }
+
+    public void markGone() {
+        gone = true;
+    }
+
+    /** True when no new work may go here, because it is to be returned. */
+    public boolean draining() {
+        return draining;
+    }
+
+    public void drain() {
+        draining = true;
+    }
+
+    public long knownSince() {
+        return knownSince;
+    }
+
+    public long idleSince() {
+        return idleSince;
+    }
+
+    public void busyAt(long now) {
+        idleSince = now;
+    }
+
+    /** When a list last held the machine, or -1. */
+    public long listedAt() {
+        return listedAt;
+    }
+
+    public void listed(long now) {
+        listedAt = now;
+    }
+
+    /** True when the machine's word shows that it has seen the token, so that older leaders' launches are past. */
+    public boolean hasSeen(long token) {
+        return reportedToken == token;
+    }
+
+    /** Takes a report over if it is newer than what is known; late ones change nothing. */
+    public boolean accept(Report report, long now) {
+        if (!report.newerThan(session, tick)) {
+            return false;
+        }
+        if (report.session() > session) {
+            launchTicks.clear();
+        }
+        session = report.session();
+        tick = report.tick();
+        reportedToken = report.token();
+        address = report.address();
+        noticeS = report.noticeS();
+        heardAt = now;
+        Map<Start, TaskReport> listing = new HashMap<>();
+        for (TaskReport t : report.tasks()) {
+            listing.put(new Start(t.uid(), t.task(), t.attempt()), t);
+            launchTicks.remove(new Start(t.uid(), t.task(), t.attempt()));
+        }
+        tasks = listing;
+        return true;
+    }
+
+    /** Notes that the answer to the newest report held a launch. */
+    public void launched(Start start) {
+        launchTicks.put(start, tick);
+    }
+
+    /** True when a launch may be on its way that the newest report can't show yet. */
+    public boolean launchPending(Start start) {
+        Long at = launchTicks.get(start);
+        return at != null && at >= tick;
+    }
+
+    public boolean launchSent(Start start) {
+        return launchTicks.containsKey(start);
+    }
+
+    /** Notes a failure here; returns the number of different jobs that failed since a task last completed. */
+    public int failed(String uid) {
+        errorJobs.add(uid);
+        return errorJobs.size();
+    }
+
+    public void completed() {
+        errorJobs.clear();
+    }
+
+    public boolean hasImage(String image) {
+        return images.containsKey(image);
+    }
+
+    /** Notes the use of an image, dropping the least recently used ones over the cache's size. */
+    public void useImage(String image, double gb, double cacheGb) {
+        images.remove(image);
+        images.put(image, gb);
+        double held = images.values().stream().mapToDouble(Double::doubleValue).sum();
+        var oldest = images.entrySet().iterator();
+        while (held > cacheGb && oldest.hasNext()) {
+            Map.Entry<String, Double> entry = oldest.next();
+            if (entry.getKey().equals(image)) {
+                break;
+            }
+            held -= entry.getValue();
+            oldest.remove();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/spoolline/workers/MachineTable.java
@@ -0,0 +1,30 @@
+package org.spoolline.workers;
+
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/** Every machine the leader has heard of, by name; gone ones stay, so that late words from them are recognised. */
+public final class MachineTable {
+    private final Map<String, Machine> machines = new LinkedHashMap<>();
+
+    public Machine get(String name) {
+        return machines.get(name);
+    }
+
+    public Collection<Machine> all() {
+        return machines.values();
+    }
+
+    public Map<String, Machine> byName() {
+        return machines;
+    }
+
+    public Machine meet(String name, String type, String zone, boolean spot, long knownSince) {
+        return machines.computeIfAbsent(name, n -> new Machine(n, type, zone, spot, knownSince));
+    }
+
+    public void clear() {
+        machines.clear();
+    }
+}
