--- a/src/main/java/org/spoolline/intake/Intake.java
+++ b/src/main/java/org/spoolline/intake/Intake.java
@@ -90,6 +90,7 @@
         try {
             job = SubmissionCodec.parse(Json.read(body));
         } catch (SubmissionCodec.Malformed e) {
+            LOG.info("turned away a malformed submission: {}", e.getMessage());
             answer.accept(Http.Response.of(400, error("malformed: " + e.getMessage())));
             return;
         }
--- a/src/main/java/org/spoolline/leadership/Leadership.java
+++ b/src/main/java/org/spoolline/leadership/Leadership.java
@@ -155,7 +155,7 @@
         }
         standing = true;
         long sent = loop.now();
-        state.createLease(Constants.LEADERSHIP_MS, fresh -> {
+        state.createLease(settings.leadershipMs(), fresh -> {
             if (fresh == 0) {
                 standing = false;
                 loop.after(Constants.RETRY_MS, this::observe);
@@ -198,7 +198,7 @@
             state.leading(true);
             LOG.info("elected with token {}", token);
             listener.elected(token, keyVersion);
-            loop.after(Constants.RENEW_MS, () -> renew(next));
+            loop.after(settings.renewMs(), () -> renew(next));
         });
     }
 
@@ -218,11 +218,11 @@
                 return;
             }
             // Any other answer proves nothing: the lease may outlive an outage, and then we still lead.
-            loop.after(status == 200 ? Constants.RENEW_MS : Constants.RETRY_MS, () -> renew(mine));
+            loop.after(status == 200 ? settings.renewMs() : Constants.RETRY_MS, () -> renew(mine));
         });
     }
 
-    private static long until(long sent) {
-        return sent + (long) (Constants.LEADERSHIP_MS * (1 - Constants.DRIFT)) - Constants.MARGIN_MS;
+    private long until(long sent) {
+        return sent + (long) (settings.leadershipMs() * (1 - Constants.DRIFT)) - Constants.MARGIN_MS;
     }
 }
--- a/src/main/java/org/spoolline/pipeline/SubmissionCodec.java
+++ b/src/main/java/org/spoolline/pipeline/SubmissionCodec.java
@@ -39,9 +39,10 @@
         if (!validUid(uid)) {
             throw new Malformed("uid");
         }
-        boolean gang = switch (text(in, "shape")) {
-            case "batch" -> false;
-            case "group" -> true;
+        Submission.Shape shape = switch (text(in, "shape")) {
+            case "batch" -> Submission.Shape.ARRAY;
+            case "group" -> Submission.Shape.GANG;
+            case "standing" -> Submission.Shape.SERVICE;
             default -> throw new Malformed("shape");
         };
         Submission.Priority priority = switch (text(in, "urgency")) {
@@ -80,7 +81,7 @@
             throw new Malformed("cores");
         }
         Double due = absent(in.path("dueS")) ? null : Double.valueOf(amount(in, "dueS"));
-        return new Submission(uid, text(in, "lane"), text(in, "desk"), gang, priority, slips.asInt(), cores,
+        return new Submission(uid, text(in, "lane"), text(in, "desk"), shape, priority, slips.asInt(), cores,
                 amount(in, "accelerators"), amount(in, "memGb"), text(in, "plate"), amount(in, "imageGb"), builds,
                 absent(yard) ? null : yard.asText(), flag(in, "samePlace"), flag(in, "scatter"), flag(in, "standby"),
                 amount(in, "expectS"), amount(in, "bookmarkS"), amount(in, "stashS"), due);
@@ -89,7 +90,11 @@
     /** The compact stored form: the known fields only. */
     public static ObjectNode encode(Submission s) {
         ObjectNode out = Json.object().put("uid", s.uid()).put("lane", s.jobClass()).put("desk", s.team())
-                .put("shape", s.gang() ? "group" : "batch")
+                .put("shape", switch (s.shape()) {
+                    case ARRAY -> "batch";
+                    case GANG -> "group";
+                    case SERVICE -> "standing";
+                })
                 .put("urgency", s.priority().name().toLowerCase(java.util.Locale.ROOT)).put("slips", s.tasks())
                 .put("cores", s.cores()).put("accelerators", s.accelerators()).put("memGb", s.memoryGb())
                 .put("plate", s.image()).put("imageGb", s.imageGb()).put("samePlace", s.oneZone())
--- a/src/main/java/org/spoolline/placement/Rounds.java
+++ b/src/main/java/org/spoolline/placement/Rounds.java
@@ -299,7 +299,10 @@
         switch (report.cause()) {
             case DONE -> {
                 machine.completed();
-                if (!next.cancelled()) {
+                if (next.spec().shape() == Submission.Shape.SERVICE) {
+                    // A service is never done: its task is started again until the user cancels.
+                    next.pauseUntil(loop.timeOfDay() + Constants.REFUSED_START_MS);
+                } else if (!next.cancelled()) {
                     if (next.spec().gang()) {
                         // The protocol: a gang completes together; if one task is done, every one is.
                         for (int task = 0; task < next.spec().tasks(); task++) {
--- a/src/main/java/org/spoolline/settings/Constants.java
+++ b/src/main/java/org/spoolline/settings/Constants.java
@@ -20,8 +20,10 @@
 
     /** Ms of a leadership lease: short enough to replace a dead leader soon, long enough for a starved core. */
     public static final long LEADERSHIP_MS = 5_000;
-    /** Ms between renewals of the leadership lease: four tries within its time. */
-    public static final long RENEW_MS = 1_000;
+    /** Ms of the shortest leadership lease that can be kept with renewals and margins. */
+    public static final long LEADERSHIP_MIN_MS = 1_500;
+    /** Renewals within the time of a leadership lease, so that single lost answers do no harm. */
+    public static final int RENEWALS = 5;
     /** Ms taken off every time bound for timer steps and scheduling delay. */
     public static final long MARGIN_MS = 500;
     /** Relative drift between two steady clocks, doubled for safety (the protocol allows 0.0005). */
--- a/src/main/java/org/spoolline/settings/Settings.java
+++ b/src/main/java/org/spoolline/settings/Settings.java
@@ -36,12 +36,22 @@
     public record Quota(double cpuShare, double memoryMb, int sockets) {
     }
 
+    /** Ms of a leadership lease: its usual time, or less where the cancellation bound leaves less. */
+    public long leadershipMs() {
+        return Math.min(Constants.LEADERSHIP_MS, (workers.cancelMs() - silenceMs()) / 2);
+    }
+
+    /** Ms between renewals of the leadership lease. */
+    public long renewMs() {
+        return Math.max(1, leadershipMs() / Constants.RENEWALS);
+    }
+
     /**
      * Ms for which a leader that lost the state service may go on answering workers so that their leases live,
      * on top of its leadership time. Leadership, this and the workers' lease together stay under cancel_s.
      */
     public long keepAliveMs() {
-        return Math.max(0, workers.cancelMs() - workers.leaseMs() - Constants.LEADERSHIP_MS
+        return Math.max(0, workers.cancelMs() - workers.leaseMs() - leadershipMs()
                 - Constants.CANCEL_RESERVE_MS);
     }
 
--- a/src/main/java/org/spoolline/settings/SettingsFile.java
+++ b/src/main/java/org/spoolline/settings/SettingsFile.java
@@ -79,10 +79,9 @@
                 new Settings.Cloud(positive(c, "cluster.cloud.", "rps"), millis(c, "cluster.cloud.", "list_lag_s")),
                 new Settings.Quota(number(q, "cluster.quota.", "cpu_share"), number(q, "cluster.quota.", "ram_mb"),
                         (int) number(q, "cluster.quota.", "sockets")));
-        long chain = Constants.LEADERSHIP_MS + settings.silenceMs() + Constants.MARGIN_MS;
-        if (chain >= settings.workers().cancelMs()) {
-            throw new SettingsException("cluster.workers.cancel_s is too short: leadership and lease_s need "
-                    + chain / 1000.0 + " s");
+        if (settings.leadershipMs() < Constants.LEADERSHIP_MIN_MS) {
+            throw new SettingsException("cluster.workers.cancel_s is too short for lease_s: "
+                    + "no time is left between them for leadership");
         }
         return settings;
     }
--- a/src/main/java/org/spoolline/state/StateClient.java
+++ b/src/main/java/org/spoolline/state/StateClient.java
@@ -87,6 +87,7 @@
     private final String address;
     private final Settings.State limits;
     private final int nodes;
+    private final long renewTimeoutMs;
     private final RateBudget requests;
     private final RateBudget changes;
     private long lastReached;
@@ -97,6 +98,7 @@
         this.http = http;
         this.address = settings.stateAddress();
         this.limits = settings.state();
+        this.renewTimeoutMs = settings.renewMs();
         this.nodes = Math.max(1, settings.nodes());
         this.requests = new RateBudget(1, loop.now());
         this.changes = new RateBudget(1, loop.now());
@@ -215,7 +217,7 @@
     /** Renews a lease; the answer is the status, 0 for none. */
     public void renewLease(long lease, Consumer<Integer> done) {
         force(0);
-        send("POST", "/leases/" + lease + "/touch", Json.bytes(Json.object()), Constants.RENEW_MS,
+        send("POST", "/leases/" + lease + "/touch", Json.bytes(Json.object()), renewTimeoutMs,
                 reply -> done.accept(reply.status()));
     }
 
