--- /dev/null
+++ b/src/test/java/org/spoolline/pipeline/PipelineTest.java
@@ -0,0 +1,117 @@
+package org.spoolline.pipeline;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+import org.spoolline.net.Json;
+
+/** A job as one stored value. */
+class PipelineTest {
+    private static ObjectNode body(int tasks) {
+        return Json.object().put("uid", "run-000001").put("lane", "train").put("desk", "vision")
+                .put("shape", "batch").put("urgency", "urgent").put("slips", tasks).put("cores", 1.5)
+                .put("accelerators", 0).put("memGb", 2).put("plate", "img").put("imageGb", 1.0)
+                .put("samePlace", false).put("scatter", false).put("standby", true).put("expectS", 60)
+                .put("bookmarkS", 0).put("stashS", 0).putNull("dueS").putNull("yard").putNull("builds");
+    }
+
+    private static Pipeline pipeline(int tasks) throws SubmissionCodec.Malformed {
+        Submission spec = SubmissionCodec.parse(body(tasks));
+        return Pipeline.accept(spec, SubmissionCodec.encode(spec), 1_000);
+    }
+
+    private static Pipeline stored(Pipeline p) {
+        return Pipeline.decode(Json.read(Json.bytes(p.encode())));
+    }
+
+    @Test
+    void theLastTaskPopsTheStackAndMakesItDone() throws Exception {
+        Pipeline p = pipeline(3);
+        p.complete(2);
+        p.complete(0);
+        p.complete(0);
+        assertFalse(p.finished());
+        p = stored(p);
+        assertEquals(2, p.doneCount());
+        p.complete(1);
+        assertTrue(p.finished());
+        assertTrue(stored(p).finished());
+    }
+
+    @Test
+    void attemptsAndRetriesSurviveTheStore() throws Exception {
+        Pipeline p = pipeline(10);
+        long number = p.nextAttempt();
+        for (int task : new int[] {0, 1, 2, 7}) {
+            p.place(new Attempt(task, number, "m-1", 4));
+        }
+        p.fail("m-9", 50_000);
+        Pipeline q = stored(p);
+        assertEquals(4, q.attempts().size());
+        assertTrue(q.attempts().contains(new Attempt(7, number, "m-1", 4)));
+        assertTrue(q.avoids("m-9"));
+        assertEquals(p.notBefore(), q.notBefore());
+        assertEquals(6, q.readyCount());
+        assertEquals(number + 1, q.nextAttempt());
+    }
+
+    @Test
+    void aFailureNeverEndsAUsersJob() throws Exception {
+        Pipeline p = pipeline(1);
+        for (int i = 0; i < 20; i++) {
+            p.fail("m-" + i, 0);
+        }
+        assertFalse(stored(p).finished());
+        p.complete(0);
+        assertTrue(p.finished());
+    }
+
+    @Test
+    void aHundredThousandTasksFitOneValueInTheWorstOrder() throws Exception {
+        Pipeline p = pipeline(100_000);
+        SplittableRandom random = new SplittableRandom(1);
+        int largest = 0;
+        while (!p.finished()) {
+            var ready = p.ready(5_000);
+            for (int i = 0; i < ready.size(); i++) {
+                // Odd tasks first: the worst case for runs of done tasks.
+                if (ready.get(i) % 2 == 1 || random.nextInt(3) == 0 || ready.size() < 100) {
+                    p.complete(ready.get(i));
+                }
+            }
+            largest = Math.max(largest, Json.bytes(p.encode()).length);
+        }
+        assertTrue(largest < 8 * 1024 / 2, "at most " + largest + " bytes");
+    }
+
+    @Test
+    void malformedSubmissionsNameTheirField() {
+        for (String field : new String[] {"uid", "lane", "desk", "shape", "urgency", "slips", "cores", "memGb",
+            "plate", "imageGb", "samePlace", "scatter", "standby", "expectS", "bookmarkS", "stashS"}) {
+            ObjectNode missing = body(1);
+            missing.remove(field);
+            assertEquals(field, assertThrows(SubmissionCodec.Malformed.class,
+                    () -> SubmissionCodec.parse(missing)).getMessage());
+            ObjectNode wrong = body(1);
+            wrong.putArray(field);
+            assertEquals(field, assertThrows(SubmissionCodec.Malformed.class,
+                    () -> SubmissionCodec.parse(wrong)).getMessage());
+        }
+        for (int slips : new int[] {0, -1, 100_001}) {
+            assertThrows(SubmissionCodec.Malformed.class, () -> SubmissionCodec.parse(body(slips)));
+        }
+        assertThrows(SubmissionCodec.Malformed.class, () -> SubmissionCodec.parse(Json.array()));
+    }
+
+    @Test
+    void fieldsThatMayBeNullMayBeLeftOut() throws Exception {
+        ObjectNode short1 = body(1);
+        short1.remove(java.util.List.of("builds", "yard", "dueS"));
+        assertEquals(SubmissionCodec.parse(body(1)), SubmissionCodec.parse(short1));
+    }
+}
--- /dev/null
+++ b/src/test/java/org/spoolline/settings/SettingsFileTest.java
@@ -0,0 +1,79 @@
+package org.spoolline.settings;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+
+/** The platform's file, checked. */
+class SettingsFileTest {
+    private static final String FINE = """
+            node_name = "n0"
+            domain = "a"
+            serve_on = "10.0.0.1:8080"
+            internal_addr = "10.0.0.1:8081"
+            unheard_of = 7
+            [services]
+            cloud = "10.2.0.2:8443"
+            state = "10.2.0.1:2379"
+            [cluster]
+            count = 1
+            [[cluster.teams]]
+            name = "t"
+            cpus = 1.0
+            cpus_max = 2.0
+            gpus = 0.0
+            gpus_max = 0.0
+            [cluster.workers]
+            report_s = 3.0
+            lease_s = 18.0
+            gang_wait_s = 30.0
+            gang_peer_s = 5.0
+            cancel_s = 48.0
+            [cluster.state]
+            rps = 100.0
+            write_rps = 40.0
+            value_kb = 8.0
+            txn_ops = 12
+            [cluster.cloud]
+            rps = 10.0
+            list_lag_s = 6.0
+            [cluster.quota]
+            cpu_share = 0.34
+            ram_mb = 320.0
+            sockets = 2500
+            """;
+
+    private static String refusal(String toml) {
+        return assertThrows(SettingsException.class, () -> SettingsFile.parse(toml)).getMessage();
+    }
+
+    @Test
+    void unknownFieldsAreIgnored() throws Exception {
+        Settings s = SettingsFile.parse(FINE);
+        assertEquals("n0", s.node());
+        assertEquals(2.0, s.teams().get("t").coresMax());
+    }
+
+    @Test
+    void refusalsNameTheField() {
+        assertTrue(refusal(FINE.replace("lease_s = 18.0\n", "")).contains("cluster.workers.lease_s"));
+        assertTrue(refusal(FINE.replace("rps = 100.0\n", "rps = -1\n")).contains("cluster.state.rps"));
+        assertTrue(refusal(FINE.replace("\"10.0.0.1:8080\"", "\"nowhere\"")).contains("serve_on"));
+        assertTrue(refusal("node_name = ").contains("TOML"));
+        assertTrue(assertThrows(SettingsException.class, () -> SettingsFile.read(Path.of("no-such-file")))
+                .getMessage().contains("no-such-file"));
+    }
+
+    /** A cut-off leader, its keep-alive and the workers' lease must all end before a cancellation's bound. */
+    @Test
+    void theChainOfLeasesEndsBeforeTheCancellationBound() throws Exception {
+        for (double lease : new double[] {4, 10, 18, 30, 40}) {
+            Settings s = SettingsFile.parse(FINE.replace("lease_s = 18.0", "lease_s = " + lease));
+            assertTrue(s.leadershipMs() + s.keepAliveMs() + s.silenceMs() < s.workers().cancelMs(), "lease " + lease);
+        }
+        assertTrue(refusal(FINE.replace("lease_s = 18.0", "lease_s = 47.0")).contains("cancel_s"));
+    }
+}
--- /dev/null
+++ b/src/test/java/org/spoolline/world/FakeState.java
@@ -0,0 +1,254 @@
+package org.spoolline.world;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import org.spoolline.net.Http;
+import org.spoolline.net.Json;
+
+/** The state service by PROTOCOL, as far as its users go. */
+public final class FakeState {
+    private record Value(JsonNode json, long stamp, long lease) {
+    }
+
+    private record Logged(long revision, String key, JsonNode value) {
+    }
+
+    private record Watch(String prefix, long after, Consumer<Http.Response> answer, boolean[] over) {
+    }
+
+    private final World world;
+    private final TreeMap<String, Value> values = new TreeMap<>();
+    private final List<Logged> log = new ArrayList<>();
+    private final Map<Long, Long> leaseEnds = new LinkedHashMap<>();
+    private final Map<Long, Long> leaseTtls = new HashMap<>();
+    private final List<Watch> watches = new ArrayList<>();
+    private long revision;
+    private long leases;
+    private boolean out;
+    /** Commits whose answer is lost although they are applied: the next so many. */
+    public int answersToLose;
+    /** Commits that are applied so late that the caller has long given up: the next so many, this many ms late. */
+    public int commitsToDelay;
+    public long delayMs = 5_000;
+
+    FakeState(World world) {
+        this.world = world;
+        tick();
+    }
+
+    private void tick() {
+        if (!out) {
+            for (long lease : List.copyOf(leaseEnds.keySet())) {
+                if (leaseEnds.get(lease) <= world.now()) {
+                    end(lease);
+                }
+            }
+        }
+        world.at(50, this::tick);
+    }
+
+    /** An outage: 503 for all; once over, every lease has its full time again. */
+    public void outage(double seconds) {
+        out = true;
+        world.at((long) (seconds * 1000), () -> {
+            out = false;
+            leaseEnds.replaceAll((lease, end) -> world.now() + leaseTtls.get(lease));
+        });
+    }
+
+    String leaderNode() {
+        Value leader = values.get("leader");
+        return leader == null ? null : leader.json().path("node").asText();
+    }
+
+    public JsonNode value(String key) {
+        Value value = values.get(key);
+        return value == null ? null : value.json();
+    }
+
+    void handle(Http.Request request, Consumer<Http.Response> reply) {
+        if (request.path().startsWith("/follow")) {
+            follow(request.path(), reply);
+            return;
+        }
+        if (out) {
+            reply.accept(Http.Response.of(503, new byte[0]));
+            return;
+        }
+        String path = request.path();
+        if (path.startsWith("/keys/")) {
+            get(path.substring(6), reply);
+        } else if (path.startsWith("/keys?")) {
+            list(query(path), reply);
+        } else if (path.equals("/commit")) {
+            JsonNode body = Json.read(request.body());
+            if (commitsToDelay > 0) {
+                commitsToDelay--;
+                world.at(delayMs, () -> commit(body, r -> { }));
+            } else if (answersToLose > 0) {
+                answersToLose--;
+                commit(body, r -> { });
+            } else {
+                commit(body, reply);
+            }
+        } else if (path.equals("/leases")) {
+            long lease = ++leases;
+            long ttl = Json.read(request.body()).path("ttlMs").asLong();
+            leaseTtls.put(lease, ttl);
+            leaseEnds.put(lease, world.now() + ttl);
+            answer(reply, 200, Json.object().put("ticket", lease));
+        } else if (path.endsWith("/touch")) {
+            long lease = Long.parseLong(path.split("/")[2]);
+            if (leaseEnds.containsKey(lease)) {
+                leaseEnds.put(lease, world.now() + leaseTtls.get(lease));
+                answer(reply, 200, Json.object());
+            } else {
+                answer(reply, 404, Json.object());
+            }
+        } else {
+            answer(reply, 400, Json.object());
+        }
+    }
+
+    private void get(String key, Consumer<Http.Response> reply) {
+        Value value = values.get(key);
+        if (value == null) {
+            answer(reply, 404, Json.object().put("ledger", revision));
+        } else {
+            ObjectNode body = Json.object().put("key", key).put("stamp", value.stamp());
+            body.set("v", value.json());
+            answer(reply, 200, body);
+        }
+    }
+
+    private void list(Map<String, String> query, Consumer<Http.Response> reply) {
+        ObjectNode body = Json.object().put("ledger", revision);
+        ArrayNode pairs = body.putArray("pairs");
+        boolean more = false;
+        int most = Integer.parseInt(query.getOrDefault("most", "1000"));
+        for (Map.Entry<String, Value> e : values.tailMap(query.getOrDefault("after", ""), false).entrySet()) {
+            if (e.getKey().startsWith(query.get("prefix"))) {
+                if (pairs.size() == most) {
+                    more = true;
+                    break;
+                }
+                pairs.addObject().put("key", e.getKey()).put("stamp", e.getValue().stamp())
+                        .set("v", e.getValue().json());
+            }
+        }
+        body.put("hasNext", more);
+        answer(reply, 200, body);
+    }
+
+    private void commit(JsonNode body, Consumer<Http.Response> reply) {
+        for (JsonNode write : body.path("writes")) {
+            if (write.has("ticket") && !leaseEnds.containsKey(write.path("ticket").asLong())) {
+                answer(reply, 400, Json.object().put("error", "no such lease"));
+                return;
+            }
+        }
+        ArrayNode failed = Json.array();
+        for (JsonNode condition : body.path("if")) {
+            Value value = values.get(condition.path("key").asText());
+            if ((value == null ? 0 : value.stamp()) != condition.path("stamp").asLong()) {
+                failed.add(condition.path("key").asText());
+            }
+        }
+        if (!failed.isEmpty()) {
+            ObjectNode answer = Json.object().put("ledger", revision);
+            answer.set("failed", failed);
+            answer(reply, 409, answer);
+            return;
+        }
+        if (!body.path("writes").isEmpty()) {
+            revision++;
+            for (JsonNode write : body.path("writes")) {
+                if (write.has("set")) {
+                    set(write.path("set").asText(), write.path("v"), write.path("ticket").asLong());
+                } else {
+                    remove(write.path("remove").asText());
+                }
+            }
+            wake();
+        }
+        answer(reply, 200, Json.object().put("ledger", revision));
+    }
+
+    private void set(String key, JsonNode value, long lease) {
+        values.put(key, new Value(value, revision, lease));
+        log.add(new Logged(revision, key, value));
+    }
+
+    private void remove(String key) {
+        if (values.remove(key) != null) {
+            log.add(new Logged(revision, key, null));
+        }
+    }
+
+    private void end(long lease) {
+        leaseEnds.remove(lease);
+        revision++;
+        for (String key : List.copyOf(values.keySet())) {
+            if (values.get(key).lease() == lease) {
+                remove(key);
+            }
+        }
+        wake();
+    }
+
+    private void follow(String path, Consumer<Http.Response> reply) {
+        Map<String, String> query = query(path);
+        Watch watch = new Watch(query.get("prefix"), Long.parseLong(query.get("after")), reply, new boolean[1]);
+        watches.add(watch);
+        world.at(Long.parseLong(query.get("waitMs")), () -> answerWatch(watch, true));
+        answerWatch(watch, false);
+    }
+
+    private void wake() {
+        List.copyOf(watches).forEach(w -> answerWatch(w, false));
+    }
+
+    private void answerWatch(Watch watch, boolean timeUp) {
+        if (watch.over()[0] || out) {
+            return;
+        }
+        ObjectNode body = Json.object().put("ledger", revision);
+        ArrayNode events = body.putArray("log");
+        for (Logged change : log) {
+            if (change.revision() > watch.after() && change.key().startsWith(watch.prefix())) {
+                ObjectNode event = events.addObject().put("stamp", change.revision());
+                if (change.value() == null) {
+                    event.put("remove", change.key());
+                } else {
+                    event.put("set", change.key()).set("v", change.value());
+                }
+            }
+        }
+        if (!events.isEmpty() || timeUp) {
+            watch.over()[0] = true;
+            watches.remove(watch);
+            answer(watch.answer(), 200, body);
+        }
+    }
+
+    private static Map<String, String> query(String path) {
+        Map<String, String> query = new HashMap<>();
+        for (String part : path.substring(path.indexOf('?') + 1).split("&")) {
+            int equals = part.indexOf('=');
+            query.put(part.substring(0, equals), part.substring(equals + 1));
+        }
+        return query;
+    }
+
+    private static void answer(Consumer<Http.Response> reply, int status, JsonNode body) {
+        reply.accept(Http.Response.of(status, Json.bytes(body)));
+    }
+}
--- /dev/null
+++ b/src/test/java/org/spoolline/world/FakeWorker.java
@@ -0,0 +1,311 @@
+package org.spoolline.world;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.spoolline.net.Http;
+import org.spoolline.net.Json;
+
+/** A worker by PROTOCOL: reports, leases, tokens, tasks, gangs. */
+public final class FakeWorker {
+    private static final long LEASE_MS = 16_000;
+    private static final long ANSWER_MS = 4_000;
+    private static final long FETCH_MS = 500;
+
+    /** One attempt here; {@code since} is when it began to run, or -1. */
+    final class Task {
+        final String uid;
+        final int index;
+        final long attempt;
+        String phase = "pulling";
+        String cause;
+        boolean saved;
+
+        Task(String uid, int index, long attempt) {
+            this.uid = uid;
+            this.index = index;
+            this.attempt = attempt;
+        }
+
+        String slip() {
+            return uid + "/" + index;
+        }
+
+        boolean alive() {
+            return !phase.equals("exited");
+        }
+
+        FakeWorker worker() {
+            return FakeWorker.this;
+        }
+
+        void exit(String why) {
+            if (alive()) {
+                boolean started = !phase.equals("pulling");
+                phase = "exited";
+                cause = why;
+                if (started) {
+                    world.rules.ended(this);
+                }
+                changed();
+            }
+        }
+    }
+
+    final String name;
+    final String type;
+    final String zone;
+    final boolean spot;
+    private final World world;
+    private final Map<String, Task> tasks = new LinkedHashMap<>();
+    private boolean dead;
+    private boolean hung;
+    private long shift = 1;
+    private long tick;
+    private long baton;
+    private long leaseFrom;
+    private int target;
+    private boolean inFlight;
+    private boolean due;
+    private long lastSent = -10_000;
+    /** Every start fails here. */
+    public boolean sick;
+    private Double noticeS;
+
+    FakeWorker(World world, String name, String type, String zone, boolean spot) {
+        this.world = world;
+        this.name = name;
+        this.type = type;
+        this.zone = zone;
+        this.spot = spot;
+        this.leaseFrom = world.now();
+        this.target = world.random.nextInt(world.nodes.size());
+        tick();
+        report();
+    }
+
+    /** Power loss. */
+    public void die() {
+        dead = true;
+        endAll();
+    }
+
+    public void hang(double seconds) {
+        hung = true;
+        world.at((long) (seconds * 1000), () -> {
+            hung = false;
+            checkLease();
+            report();
+        });
+    }
+
+    public void notice(double seconds) {
+        noticeS = seconds;
+        changed();
+        world.at((long) (seconds * 1000), () -> world.cloud.take(name));
+    }
+
+    boolean dead() {
+        return dead;
+    }
+
+    List<Task> tasks() {
+        return new ArrayList<>(tasks.values());
+    }
+
+    private void endAll() {
+        for (Task t : tasks.values()) {
+            if (t.alive()) {
+                boolean started = !t.phase.equals("pulling");
+                t.phase = "exited";
+                t.cause = "lost";
+                if (started) {
+                    world.rules.ended(t);
+                }
+            }
+        }
+        tasks.clear();
+    }
+
+    private void tick() {
+        if (dead) {
+            return;
+        }
+        // A hanging machine may resume within its lease; past it, its tasks are gone whether it resumes or not.
+        checkLease();
+        world.at(100, this::tick);
+    }
+
+    private void checkLease() {
+        if (!dead && world.now() - leaseFrom > LEASE_MS) {
+            endAll();
+            shift++;
+            leaseFrom = world.now();
+            changed();
+        }
+    }
+
+    private void changed() {
+        due = true;
+        world.at(Math.max(0, lastSent + 500 - world.now()), () -> {
+            if (due) {
+                report();
+            }
+        });
+    }
+
+    private void later(long delay) {
+        world.at(delay, this::report);
+    }
+
+    private void report() {
+        if (dead || hung || inFlight || world.now() - lastSent < 500) {
+            return;
+        }
+        inFlight = true;
+        due = false;
+        lastSent = world.now();
+        long sent = world.now();
+        long sentShift = shift;
+        ObjectNode body = Json.object().put("spooler", name).put("addr", name + ":9").put("build", type)
+                .put("yard", zone).put("standby", spot).put("shift", shift).put("tick", ++tick).put("baton", baton);
+        if (noticeS != null) {
+            body.put("recallS", noticeS);
+        }
+        ArrayNode slips = body.putArray("slips");
+        for (Task t : tasks.values()) {
+            ObjectNode slip = slips.addObject().put("slip", t.slip()).put("try", t.attempt).put("status", t.phase);
+            if (t.cause != null) {
+                slip.put("cause", t.cause).put("kept", t.saved);
+            }
+        }
+        String node = List.copyOf(world.nodes.keySet()).get(target);
+        world.call(name, node + ":1", new Http.Request("POST", "/checkin", "", Json.bytes(body)), ANSWER_MS, reply -> {
+            inFlight = false;
+            if (dead || hung) {
+                return;
+            }
+            if (reply.status() == 200) {
+                take(Json.read(reply.body()), sent, sentShift);
+                later(2_250 + world.random.nextInt(1_500));
+                if (due) {
+                    changed();
+                }
+                return;
+            }
+            String foreman = reply.status() == 421 ? Json.read(reply.body()).path("foreman").asText("") : "";
+            int named = List.copyOf(world.nodes.keySet()).indexOf(foreman);
+            if (named >= 0 && named != target) {
+                target = named;
+                later(500);
+            } else {
+                target = (target + 1) % world.nodes.size();
+                later(1_000);
+            }
+        });
+    }
+
+    private void take(JsonNode answer, long sent, long sentShift) {
+        if (sentShift != shift || !answer.has("baton") || answer.path("baton").asLong() < baton) {
+            return;
+        }
+        if (answer.path("baton").asLong() > baton) {
+            baton = answer.path("baton").asLong();
+            changed();
+        }
+        leaseFrom = sent;
+        for (JsonNode order : answer.path("orders")) {
+            carryOut(order);
+        }
+    }
+
+    private void carryOut(JsonNode order) {
+        String slip = order.path("slip").asText();
+        long attempt = order.path("try").asLong();
+        String id = slip + "#" + attempt;
+        Task known = tasks.get(id);
+        switch (order.path("verb").asText()) {
+            case "launch" -> {
+                if (known == null) {
+                    launch(id, slip, attempt);
+                }
+            }
+            case "kill" -> {
+                if (known != null && known.alive()) {
+                    known.saved = order.path("windDownS").asDouble() >= 1 && world.users.saves(known.uid);
+                    known.exit("halted");
+                }
+            }
+            case "clear" -> {
+                if (known != null && !known.alive()) {
+                    tasks.remove(id);
+                }
+            }
+            default -> throw new AssertionError(order);
+        }
+    }
+
+    private void launch(String id, String slip, long attempt) {
+        int slash = slip.indexOf('/');
+        Task task = new Task(slip.substring(0, slash), Integer.parseInt(slip.substring(slash + 1)), attempt);
+        tasks.put(id, task);
+        double used = 0;
+        for (Task t : tasks.values()) {
+            if (t != task && t.alive()) {
+                used += world.users.cores(t.uid);
+                if (t.slip().equals(slip)) {
+                    task.exit("in_use");
+                    return;
+                }
+            }
+        }
+        if (used + world.users.cores(task.uid) > FakeCloud.cores(type)) {
+            task.exit("no_room");
+            return;
+        }
+        changed();
+        world.at(FETCH_MS, () -> {
+            if (dead || !task.alive() || !tasks.containsValue(task)) {
+                return;
+            }
+            world.rules.started(task);
+            if (sick || world.users.faulty(task.uid)) {
+                task.phase = "running";
+                task.exit("error");
+            } else if (world.users.gang(task.uid)) {
+                task.phase = "gathering";
+                world.users.gathered(task);
+            } else {
+                task.phase = "running";
+                runFor(task, world.users.runMs(task.uid));
+            }
+            changed();
+        });
+    }
+
+    /** Completes the task after its time, unless it ends before; a hanging machine makes no progress. */
+    void runFor(Task task, long left) {
+        world.at(200, () -> {
+            if (dead || !task.alive()) {
+                return;
+            }
+            long rest = hung ? left : left - 200;
+            if (rest > 0) {
+                runFor(task, rest);
+            } else if (world.users.gang(task.uid)) {
+                world.users.gangDone(task);
+            } else {
+                world.rules.completed(task);
+                task.exit("done");
+            }
+        });
+    }
+
+    void changedByGang() {
+        changed();
+    }
+}
--- /dev/null
+++ b/src/test/java/org/spoolline/world/StoriesTest.java
@@ -0,0 +1,324 @@
+package org.spoolline.world;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.spoolline.net.Http;
+import org.spoolline.net.Json;
+
+/** Days of a small deployment, each with its trouble, under an independent check of the rules. */
+class StoriesTest {
+    private static final int SEEDS = Integer.getInteger("stories.seeds", 4);
+
+    private interface Trouble {
+        void strike(World world);
+    }
+
+    /** A mixed load, trouble at 40 s, and enough time to recover; every job must end and no rule may break. */
+    private static void day(double seconds, Trouble trouble) {
+        for (int seed = 1; seed <= SEEDS; seed++) {
+            World world = new World(seed);
+            List<Users.Job> jobs = new ArrayList<>();
+            for (int i = 0; i < 12; i++) {
+                int n = i;
+                world.at(3_000 + i * 5_000L, () -> jobs.add(world.users.submit(jobOf(world, n))));
+            }
+            world.run(40);
+            trouble.strike(world);
+            world.run(seconds);
+            assertEquals(List.of(), world.rules.broken(), "seed " + seed);
+            for (Users.Job job : jobs) {
+                assertTrue(job.status().equals("done") || job.status().equals("aborted"),
+                        "seed " + seed + ": " + job.uid() + " is " + job.status());
+            }
+            assertTrue(world.rules.starts() > 0);
+        }
+    }
+
+    private static Users.Job jobOf(World world, int n) {
+        return switch (n % 4) {
+            case 0 -> world.users.job("blue", "batch", 12, 1, 15);
+            case 1 -> world.users.job("red", "group", 2, 7, 20).with("samePlace", true);
+            case 2 -> world.users.job("red", "batch", 5, 2, 25).with("bookmarkS", 5.0).with("stashS", 1.0);
+            default -> world.users.job("blue", "batch", 7, 2, 10).with("scatter", true);
+        };
+    }
+
+    private static String leader(World world) {
+        return world.leader() == null ? "node-0" : world.leader();
+    }
+
+    private static FakeWorker busy(World world) {
+        return world.workers().values().stream().filter(w -> !w.dead() && !w.tasks().isEmpty()).findFirst()
+                .orElseGet(() -> world.workers().values().iterator().next());
+    }
+
+    @Test
+    void aQuietDayIsServedInFull() {
+        day(200, world -> { });
+    }
+
+    @Test
+    void theLeaderCrashesAndAnotherGoesOn() {
+        day(260, world -> world.crashFor(leader(world), 6));
+    }
+
+    @Test
+    void theLeaderCrashesAgainRightAfterItsReturn() {
+        day(260, world -> {
+            String leader = leader(world);
+            world.crashFor(leader, 0.2);
+            world.at(500, () -> world.crashFor(leader, 0.2));
+            world.at(5_200, () -> world.crashFor(leader(world), 0.3));
+        });
+    }
+
+    @Test
+    void allControllersCrashAtOnce() {
+        day(260, world -> List.of("node-0", "node-1", "node-2").forEach(n -> world.crashFor(n, 5)));
+    }
+
+    @Test
+    void controllersAreRestartedInARoll() {
+        day(300, world -> {
+            for (int i = 0; i < 3; i++) {
+                String node = "node-" + i;
+                world.at(i * 15_000L, () -> world.crashFor(node, 5));
+            }
+        });
+    }
+
+    @Test
+    void theLeaderLosesTheStateServiceAlone() {
+        day(300, world -> {
+            String leader = leader(world);
+            world.cut(leader, "state", World.Cut.LOSE);
+            world.at(30_000, () -> world.cut(leader, "state", World.Cut.NONE));
+        });
+    }
+
+    @Test
+    void theLeadersPacketsToTheStateServiceArriveMuchLater() {
+        day(300, world -> {
+            String leader = leader(world);
+            world.cut(leader, "state", World.Cut.HOLD);
+            world.at(25_000, () -> world.cut(leader, "state", World.Cut.NONE));
+        });
+    }
+
+    @Test
+    void theLeaderIsCutOffFromItsPeersAndTheStateButNotFromTheWorkers() {
+        day(300, world -> {
+            String leader = leader(world);
+            for (String other : List.of("node-0", "node-1", "node-2", "state", "cloud")) {
+                if (!other.equals(leader)) {
+                    world.cut(leader, other, World.Cut.HOLD);
+                    world.at(40_000, () -> world.cut(leader, other, World.Cut.NONE));
+                }
+            }
+        });
+    }
+
+    @Test
+    void theStateServiceIsOutForAWhile() {
+        day(260, world -> world.state.outage(20));
+    }
+
+    @Test
+    void theStateServiceIsOutForLong() {
+        day(420, world -> world.state.outage(120));
+    }
+
+    @Test
+    void answersOfTheStateServiceAreLost() {
+        day(260, world -> world.state.answersToLose = 6);
+    }
+
+    @Test
+    void transactionsAreAppliedLate() {
+        day(260, world -> {
+            world.state.commitsToDelay = 5;
+            world.at(20_000, () -> world.state.commitsToDelay = 3);
+        });
+    }
+
+    @Test
+    void machinesDie() {
+        day(260, world -> {
+            busy(world).die();
+            world.at(10_000, () -> busy(world).die());
+        });
+    }
+
+    @Test
+    void aMachineHangsAndResumesWithinItsLeaseOrAfterIt() {
+        day(300, world -> {
+            busy(world).hang(9);
+            world.at(12_000, () -> busy(world).hang(40));
+        });
+    }
+
+    @Test
+    void aMachineLosesTheNetworkAndItsReportsArriveLate() {
+        day(300, world -> {
+            FakeWorker worker = busy(world);
+            for (int i = 0; i < 3; i++) {
+                String node = "node-" + i;
+                world.cut(worker.name, node, World.Cut.HOLD);
+                world.at(25_000, () -> world.cut(worker.name, node, World.Cut.NONE));
+            }
+        });
+    }
+
+    @Test
+    void spotMachinesAreTakenWithNoticeAndWithout() {
+        day(260, world -> {
+            busy(world).notice(8);
+            world.at(9_000, () -> world.cloud.take(busy(world).name));
+        });
+    }
+
+    @Test
+    void theCloudIsDown() {
+        day(300, world -> world.cloud.outage(40));
+    }
+
+    @Test
+    void theCloudHasFewMachinesLeft() {
+        day(500, world -> world.cloud.capacity = 1);
+    }
+
+    @Test
+    void aMachineFailsEveryTask() {
+        day(300, world -> busy(world).sick = true);
+    }
+
+    @Test
+    void theLeaderCrashesInAnOutageOfTheStateServiceWhileAMachineHangs() {
+        day(400, world -> {
+            world.state.outage(30);
+            busy(world).hang(25);
+            world.at(5_000, () -> world.crashFor(leader(world), 4));
+        });
+    }
+
+    @Test
+    void usersCancelInEveryPhase() {
+        for (int seed = 1; seed <= 3 * SEEDS; seed++) {
+            World world = new World(seed);
+            world.run(3);
+            for (int i = 0; i < 8; i++) {
+                Users.Job job = world.users.submit(jobOf(world, i));
+                long after = i * 4_000L + world.random.nextInt(3_000);
+                world.at(after, () -> world.users.cancel(job));
+            }
+            world.at(20_000, () -> world.crashFor(leader(world), 5));
+            world.run(200);
+            assertEquals(List.of(), world.rules.broken(), "seed " + seed);
+            for (Users.Job job : world.users.jobs()) {
+                assertTrue(List.of("done", "aborted").contains(job.status()), job.uid() + " is " + job.status());
+            }
+        }
+    }
+
+    @Test
+    void aCancelledJobEndsOnAMachineThatNobodyReaches() {
+        for (int seed = 1; seed <= SEEDS; seed++) {
+            World world = new World(seed);
+            world.run(3);
+            Users.Job job = world.users.submit(world.users.job("blue", "batch", 4, 2, 300));
+            world.run(40);
+            world.workers().values().forEach(w -> {
+                for (int i = 0; i < 3; i++) {
+                    world.cut(w.name, "node-" + i, World.Cut.LOSE);
+                }
+            });
+            world.users.cancel(job);
+            world.run(120);
+            assertEquals("aborted", job.status());
+            assertEquals(List.of(), world.rules.broken(), "seed " + seed);
+        }
+    }
+
+    @Test
+    void aJobThatFailsEverywhereNeitherEndsNorTakesTheMachinesDown() {
+        World world = new World(7);
+        world.run(3);
+        Users.Job bad = world.users.submit(world.users.job("red", "batch", 3, 1, 5).faulty());
+        Users.Job good = world.users.submit(world.users.job("blue", "batch", 8, 1, 10));
+        world.run(120);
+        assertEquals("done", good.status());
+        assertFalse(List.of("done", "aborted").contains(bad.status()));
+        world.users.cancel(bad);
+        world.run(60);
+        assertEquals("aborted", bad.status());
+        assertEquals(List.of(), world.rules.broken());
+    }
+
+    @Test
+    void aJobNobodySubmittedIsUnknown() {
+        World world = new World(1);
+        world.run(3);
+        List<Integer> statuses = new ArrayList<>();
+        world.users.askForNothing(statuses::add);
+        world.run(3);
+        assertEquals(List.of(404), statuses);
+    }
+
+    @Test
+    void idleMachinesAreReturned() {
+        World world = new World(3);
+        world.run(3);
+        world.users.submit(world.users.job("blue", "batch", 10, 2, 5));
+        world.run(60);
+        assertTrue(world.workers().values().stream().anyMatch(w -> !w.dead()));
+        world.run(200);
+        assertTrue(world.workers().values().stream().allMatch(FakeWorker::dead));
+    }
+
+    /** A check that can't fail proves nothing: a scheduler without any care must be caught. */
+    @Test
+    void theRulesCatchASchedulerThatBreaksThem() {
+        World world = new World(5);
+        world.run(3);
+        Users.Job job = world.users.submit(world.users.job("blue", "batch", 2, 8, 500).with("yard", "a"));
+        world.run(5);
+        world.replaceControllers((request, answer) -> {
+            if (request.path().equals("/checkin")) {
+                answer.accept(startEverywhere(Json.read(request.body()), job));
+            } else if (request.path().endsWith("/abort")) {
+                answer.accept(status(job, "aborted"));
+            } else {
+                answer.accept(status(job, "done"));
+            }
+        });
+        for (String zone : List.of("a", "a", "b")) {
+            String name = "x-" + world.random.nextInt(1_000_000);
+            world.workers().put(name, new FakeWorker(world, name, "small", zone, false));
+        }
+        world.run(10);
+        world.users.cancel(job);
+        world.run(90);
+        for (String rule : List.of("ran_twice", "wrong_place", "not_done", "went_back", "ran_cancelled")) {
+            assertTrue(world.rules.broken().stream().anyMatch(b -> b.startsWith(rule)), rule);
+        }
+    }
+
+    private static Http.Response startEverywhere(JsonNode report, Users.Job job) {
+        ObjectNode body = Json.object().put("baton", 1_000);
+        ArrayNode orders = body.putArray("orders");
+        orders.addObject().put("verb", "launch").put("slip", job.uid() + "/0").put("try", 77);
+        return Http.Response.of(200, Json.bytes(body));
+    }
+
+    private static Http.Response status(Users.Job job, String status) {
+        return Http.Response.of(200, Json.bytes(Json.object().put("uid", job.uid()).put("status", status)));
+    }
+}
--- /dev/null
+++ b/src/test/java/org/spoolline/world/Users.java
@@ -0,0 +1,251 @@
+package org.spoolline.world;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.spoolline.net.Http;
+import org.spoolline.net.Json;
+
+/** Users who submit, poll and cancel through any node that answers, and know what their tasks do. */
+public final class Users {
+    private static final long SUBMIT_MS = 5_000;
+    private static final long POLL_MS = 2_000;
+
+    /** What a job is, beyond what its controllers are told. */
+    public static final class Job {
+        private final ObjectNode body;
+        private final long runMs;
+        private boolean faulty;
+        private boolean accepted;
+        private boolean cancelAsked;
+        private String status = "";
+
+        Job(ObjectNode body, long runMs) {
+            this.body = body;
+            this.runMs = runMs;
+        }
+
+        String uid() {
+            return body.path("uid").asText();
+        }
+
+        String team() {
+            return body.path("desk").asText();
+        }
+
+        double cores() {
+            return body.path("cores").asDouble();
+        }
+
+        int tasks() {
+            return body.path("slips").asInt();
+        }
+
+        boolean oneZone() {
+            return body.path("samePlace").asBoolean();
+        }
+
+        boolean spread() {
+            return body.path("scatter").asBoolean();
+        }
+
+        boolean spot() {
+            return body.path("standby").asBoolean();
+        }
+
+        String zone() {
+            return body.path("yard").asText(null);
+        }
+
+        String type() {
+            return body.has("builds") ? body.path("builds").get(0).asText() : null;
+        }
+
+        boolean cancelAsked() {
+            return cancelAsked;
+        }
+
+        public Job with(String field, Object value) {
+            body.putPOJO(field, value);
+            return this;
+        }
+
+        public Job faulty() {
+            faulty = true;
+            return this;
+        }
+
+        public boolean accepted() {
+            return accepted;
+        }
+
+        public String status() {
+            return status;
+        }
+    }
+
+    private final World world;
+    private final Map<String, Job> jobs = new LinkedHashMap<>();
+    private final Map<String, Set<FakeWorker.Task>> gathering = new HashMap<>();
+    private int names;
+
+    Users(World world) {
+        this.world = world;
+    }
+
+    Job job(String uid) {
+        return jobs.get(uid);
+    }
+
+    public Iterable<Job> jobs() {
+        return jobs.values();
+    }
+
+    double cores(String uid) {
+        return jobs.get(uid).cores();
+    }
+
+    long runMs(String uid) {
+        return jobs.get(uid).runMs;
+    }
+
+    boolean gang(String uid) {
+        return jobs.get(uid).body.path("shape").asText().equals("group");
+    }
+
+    boolean saves(String uid) {
+        return jobs.get(uid).body.path("bookmarkS").asDouble() > 0;
+    }
+
+    boolean faulty(String uid) {
+        return jobs.get(uid).faulty;
+    }
+
+    /** A job that is not submitted yet. */
+    public Job job(String team, String shape, int tasks, double cores, double runS) {
+        ObjectNode body = Json.object().put("uid", String.format("run-%06d", ++names)).put("lane", "any")
+                .put("desk", team).put("shape", shape).put("urgency", "standard").put("slips", tasks)
+                .put("cores", cores).put("accelerators", 0).put("memGb", 1).put("plate", "img").put("imageGb", 1)
+                .put("samePlace", false).put("scatter", false).put("standby", true).put("expectS", runS)
+                .put("bookmarkS", 0).put("stashS", 0);
+        Job job = new Job(body, (long) (runS * 1000));
+        jobs.put(job.uid(), job);
+        return job;
+    }
+
+    public Job submit(Job job) {
+        Http.Request request = new Http.Request("POST", "/submissions", "", Json.bytes(job.body));
+        long asked = world.now();
+        ask(request, SUBMIT_MS, reply -> {
+            if (reply.status() == 200 || reply.status() == 201) {
+                job.accepted = true;
+                hear(job, reply, asked);
+                poll(job);
+            } else if (job.accepted && (reply.status() == 400 || reply.status() == 422)) {
+                world.rules.forgotten(job.uid(), reply.status());
+            } else {
+                world.at(1_000, () -> submit(job));
+            }
+        });
+        return job;
+    }
+
+    private void poll(Job job) {
+        long asked = world.now();
+        ask(new Http.Request("GET", "/submissions/" + job.uid(), "", new byte[0]), POLL_MS, reply -> {
+            if (reply.status() == 200) {
+                hear(job, reply, asked);
+            } else if (reply.status() == 404) {
+                world.rules.forgotten(job.uid(), 404);
+            }
+            world.at(5_000, () -> poll(job));
+        });
+    }
+
+    public void cancel(Job job) {
+        job.cancelAsked = true;
+        long asked = world.now();
+        ask(new Http.Request("POST", "/submissions/" + job.uid() + "/abort", "", new byte[0]), SUBMIT_MS, reply -> {
+            if (reply.status() == 200) {
+                hear(job, reply, asked);
+            } else {
+                world.at(1_000, () -> cancel(job));
+            }
+        });
+    }
+
+    /** Asks about a job nobody has submitted. */
+    public void askForNothing(Consumer<Integer> status) {
+        ask(new Http.Request("GET", "/submissions/run-999999", "", new byte[0]), POLL_MS, reply -> {
+            if (reply.status() == 200) {
+                world.rules.invented("run-999999");
+            }
+            status.accept(reply.status());
+        });
+    }
+
+    private void hear(Job job, Http.Reply reply, long askedAt) {
+        JsonNode body = Json.read(reply.body());
+        job.status = body.path("status").asText();
+        world.rules.told(job.uid(), job.status, askedAt);
+    }
+
+    private void ask(Http.Request request, long timeout, Consumer<Http.Reply> done) {
+        List<String> names = List.copyOf(world.nodes.keySet());
+        String node = names.get(world.random.nextInt(names.size()));
+        world.call("users", node + ":1", request, timeout, done);
+    }
+
+    /** A gang's task has its image; the gang runs once all of its attempt do. */
+    void gathered(FakeWorker.Task task) {
+        Set<FakeWorker.Task> mates = mates(task);
+        mates.add(task);
+        mates.removeIf(t -> !t.alive());
+        Job job = jobs.get(task.uid);
+        if (mates.size() == job.tasks()) {
+            for (FakeWorker.Task t : mates) {
+                t.phase = "running";
+                t.worker().changedByGang();
+            }
+            task.worker().runFor(task, job.runMs);
+            watchGang(task);
+        } else {
+            world.at(30_000, () -> {
+                if (task.phase.equals("gathering")) {
+                    task.exit("alone");
+                }
+            });
+        }
+    }
+
+    private void watchGang(FakeWorker.Task any) {
+        Set<FakeWorker.Task> mates = mates(any);
+        if (mates.stream().allMatch(FakeWorker.Task::alive)) {
+            world.at(500, () -> watchGang(any));
+            return;
+        }
+        if (mates.stream().anyMatch(t -> "done".equals(t.cause))) {
+            return;
+        }
+        world.at(2_000, () -> mates.forEach(t -> t.exit("mates_gone")));
+    }
+
+    void gangDone(FakeWorker.Task task) {
+        Set<FakeWorker.Task> mates = mates(task);
+        if (!mates.stream().allMatch(FakeWorker.Task::alive)) {
+            return;
+        }
+        mates.forEach(world.rules::completed);
+        mates.forEach(t -> t.exit("done"));
+    }
+
+    private Set<FakeWorker.Task> mates(FakeWorker.Task task) {
+        return gathering.computeIfAbsent(task.uid + "#" + task.attempt, k -> new HashSet<>());
+    }
+}
--- /dev/null
+++ b/src/test/java/org/spoolline/world/World.java
@@ -0,0 +1,293 @@
+package org.spoolline.world;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.function.Consumer;
+import org.spoolline.Controller;
+import org.spoolline.net.Http;
+import org.spoolline.net.Loop;
+import org.spoolline.settings.Settings;
+import org.spoolline.settings.SettingsException;
+import org.spoolline.settings.SettingsFile;
+
+/**
+ * One in-memory world: controllers, state service, cloud, workers and users under simulated time and seeded luck. A
+ * story replays the same for the same seed. Whatever tasks do is seen by {@link Rules}.
+ */
+public final class World {
+    static final long START_OF_DAY = 1_700_000_000_000L;
+
+    private record Event(long at, long order, Runnable action) {
+    }
+
+    /** A controller with its life: {@code life} grows with each restart, so that a dead process's timers stay dead. */
+    final class Node {
+        final String name;
+        final String address;
+        final String internal;
+        Controller controller;
+        int life;
+        boolean up;
+
+        Node(int index) {
+            name = "node-" + index;
+            address = name + ":1";
+            internal = name + ":2";
+        }
+    }
+
+    /** How a link between two hosts is disturbed. */
+    public enum Cut { NONE, LOSE, HOLD }
+
+    public final SplittableRandom random;
+    public final Rules rules = new Rules(this);
+    public final FakeState state;
+    public final FakeCloud cloud;
+    public final Users users;
+    final Map<String, Node> nodes = new LinkedHashMap<>();
+    final Map<String, FakeWorker> workers = new LinkedHashMap<>();
+    private final PriorityQueue<Event> events = new PriorityQueue<>(
+            Comparator.comparingLong(Event::at).thenComparingLong(Event::order));
+    private final Map<String, Cut> cuts = new HashMap<>();
+    private final Map<String, List<Runnable>> held = new HashMap<>();
+    private final Set<String> slow = new HashSet<>();
+    private long now;
+    private long order;
+    private Http.Handler rogue;
+
+    public World(long seed) {
+        random = new SplittableRandom(seed);
+        state = new FakeState(this);
+        cloud = new FakeCloud(this);
+        users = new Users(this);
+        for (int i = 0; i < 3; i++) {
+            Node node = new Node(i);
+            nodes.put(node.name, node);
+        }
+        nodes.keySet().forEach(this::startNode);
+    }
+
+    public long now() {
+        return now;
+    }
+
+    public void at(long delayMs, Runnable action) {
+        events.add(new Event(now + Math.max(0, delayMs), order++, action));
+    }
+
+    public void run(double seconds) {
+        long end = now + (long) (seconds * 1000);
+        while (!events.isEmpty() && events.peek().at() <= end) {
+            Event event = events.poll();
+            now = event.at();
+            event.action().run();
+        }
+        now = end;
+    }
+
+    // --- controllers
+
+    public Settings settings(String name) {
+        StringBuilder toml = new StringBuilder();
+        Node node = nodes.get(name);
+        toml.append("node_name = \"").append(name).append("\"\ndomain = \"a\"\nserve_on = \"").append(node.address)
+                .append("\"\ninternal_addr = \"").append(node.internal).append("\"\n");
+        for (Node other : nodes.values()) {
+            if (other != node) {
+                toml.append("[[seeds]]\nnode_name = \"").append(other.name).append("\"\ndomain = \"a\"\nendpoint = \"")
+                        .append(other.internal).append("\"\n");
+            }
+        }
+        toml.append("""
+                [services]
+                cloud = "cloud:1"
+                state = "state:1"
+                [cluster]
+                count = 3
+                [[cluster.teams]]
+                name = "blue"
+                cpus = 32.0
+                cpus_max = 64.0
+                gpus = 0.0
+                gpus_max = 0.0
+                [[cluster.teams]]
+                name = "red"
+                cpus = 16.0
+                cpus_max = 32.0
+                gpus = 0.0
+                gpus_max = 0.0
+                [cluster.workers]
+                report_s = 3.0
+                lease_s = 16.0
+                gang_wait_s = 30.0
+                gang_peer_s = 5.0
+                cancel_s = 46.0
+                [cluster.state]
+                rps = 150.0
+                write_rps = 60.0
+                value_kb = 8.0
+                txn_ops = 12
+                [cluster.cloud]
+                rps = 10.0
+                list_lag_s = 6.0
+                [cluster.quota]
+                cpu_share = 0.2
+                ram_mb = 200.0
+                sockets = 1000
+                """);
+        try {
+            return SettingsFile.parse(toml.toString());
+        } catch (SettingsException e) {
+            throw new AssertionError(e);
+        }
+    }
+
+    public void startNode(String name) {
+        Node node = nodes.get(name);
+        node.up = true;
+        int life = ++node.life;
+        Loop loop = new Loop() {
+            @Override
+            public long now() {
+                return now;
+            }
+
+            @Override
+            public long timeOfDay() {
+                return START_OF_DAY + now;
+            }
+
+            @Override
+            public void after(long delayMs, Runnable task) {
+                at(delayMs, () -> {
+                    if (node.up && node.life == life) {
+                        task.run();
+                    }
+                });
+            }
+        };
+        Http.Caller caller = (target, method, path, body, timeoutMs, done) ->
+                call(name, target, new Http.Request(method, path, "", body == null ? new byte[0] : body), timeoutMs,
+                        reply -> {
+                            if (node.up && node.life == life) {
+                                done.accept(reply);
+                            }
+                        });
+        node.controller = new Controller(settings(name), loop, caller, random.split());
+        node.controller.start();
+    }
+
+    public void crash(String name) {
+        nodes.get(name).up = false;
+    }
+
+    public void crashFor(String name, double seconds) {
+        crash(name);
+        at((long) (seconds * 1000), () -> startNode(name));
+    }
+
+    /** The node that the state service names as leader, or null. */
+    public String leader() {
+        return state.leaderNode();
+    }
+
+    /** Puts a scheduler of the story's own in place of every controller, to see the rules notice it. */
+    public void replaceControllers(Http.Handler scheduler) {
+        rogue = scheduler;
+    }
+
+    public Map<String, FakeWorker> workers() {
+        return workers;
+    }
+
+    // --- network
+
+    /** Disturbs the link between two hosts, both ways. */
+    public void cut(String a, String b, Cut how) {
+        cuts.put(a + "|" + b, how);
+        cuts.put(b + "|" + a, how);
+        if (how == Cut.NONE) {
+            release(a + "|" + b);
+            release(b + "|" + a);
+        }
+    }
+
+    private void release(String link) {
+        List<Runnable> waiting = held.remove(link);
+        if (waiting != null) {
+            for (Runnable delivery : waiting) {
+                at(1 + random.nextInt(20), delivery);
+            }
+        }
+    }
+
+    /** Sends a request from one host to an address; the reply has status 0 when none came in time. */
+    void call(String from, String target, Http.Request request, long timeoutMs, Consumer<Http.Reply> done) {
+        String host = target.substring(0, target.indexOf(':'));
+        boolean[] over = new boolean[1];
+        at(timeoutMs, () -> {
+            if (!over[0]) {
+                over[0] = true;
+                done.accept(Http.Reply.NONE);
+            }
+        });
+        Consumer<Http.Response> reply = response -> deliver(host, from, () -> {
+            if (!over[0]) {
+                over[0] = true;
+                done.accept(new Http.Reply(response.status(), response.body()));
+            }
+        });
+        deliver(from, host, () -> receive(target, host, request, reply, () -> {
+            if (!over[0]) {
+                over[0] = true;
+                done.accept(Http.Reply.NONE);
+            }
+        }));
+    }
+
+    private void deliver(String from, String to, Runnable delivery) {
+        String link = from + "|" + to;
+        switch (cuts.getOrDefault(link, Cut.NONE)) {
+            case LOSE -> { }
+            // Held packets arrive late, in order, even if the sender has given up meanwhile.
+            case HOLD -> held.computeIfAbsent(link, l -> new ArrayList<>()).add(delivery);
+            default -> at(1 + random.nextInt(slow.contains(to) ? 400 : 8), delivery);
+        }
+    }
+
+    public void slow(String host, boolean yes) {
+        if (yes) {
+            slow.add(host);
+        } else {
+            slow.remove(host);
+        }
+    }
+
+    private void receive(String target, String host, Http.Request request, Consumer<Http.Response> reply,
+                         Runnable refused) {
+        if (host.equals("state")) {
+            state.handle(request, reply);
+        } else if (host.equals("cloud")) {
+            cloud.handle(request, reply);
+        } else if (nodes.containsKey(host)) {
+            Node node = nodes.get(host);
+            if (rogue != null) {
+                rogue.handle(request, reply);
+            } else if (!node.up) {
+                at(1, refused);
+            } else if (target.equals(node.address)) {
+                node.controller.serve(request, reply);
+            } else {
+                node.controller.servePeer(request, reply);
+            }
+        }
+    }
+}
