--- a/src/main/java/org/spoolline/cli/Main.java
+++ b/src/main/java/org/spoolline/cli/Main.java
@@ -29,12 +29,16 @@
 @Command(name = "spoolline", mixinStandardHelpOptions = true, version = "spoolline 0.1.0",
         description = "Cluster scheduler: runs one controller node until it is killed.")
 public final class Main implements Callable<Integer> {
-    @Option(names = "--config", required = true, paramLabel = "FILE", description = "Settings file (TOML).")
+    @Option(names = "--config", paramLabel = "FILE", description = "Settings file (TOML).")
     private Path config;
 
     @Option(names = "--check", description = "Check the settings and exit without serving.")
     private boolean check;
 
+    @Option(names = "--rehearse", hidden = true,
+            description = "Serve canned requests on loopback and exit; the build records the classes it loads.")
+    private boolean rehearse;
+
     public static void main(String[] args) {
         String level = System.getenv().getOrDefault("LOG_LEVEL", "info");
         switch (level) {
@@ -49,14 +53,22 @@
         System.setProperty("org.slf4j.simpleLogger.log.org.spoolline", level.toLowerCase(Locale.ROOT));
         System.setProperty("org.slf4j.simpleLogger.showThreadName", "false");
         System.setProperty("org.slf4j.simpleLogger.showShortLogName", "true");
-        int code = new CommandLine(new Main()).execute(args);
-        if (code != 0) {
+        Main command = new Main();
+        int code = new CommandLine(command).execute(args);
+        if (code != 0 || command.rehearse) {
             System.exit(code);
         }
     }
 
     @Override
-    public Integer call() {
+    public Integer call() throws IOException, SettingsException, InterruptedException {
+        if (rehearse) {
+            return new Rehearsal().play() ? 0 : 1;
+        }
+        if (config == null) {
+            System.err.println("spoolline: --config FILE is needed, see --help");
+            return 2;
+        }
         Settings settings;
         try {
             settings = SettingsFile.read(config);
@@ -71,18 +83,26 @@
         return serve(settings);
     }
 
+    /** One I/O thread, which is the loop; the single task thread idles. */
+    static XnioWorker worker() throws IOException {
+        return Xnio.getInstance().createWorker(OptionMap.builder()
+                .set(Options.WORKER_IO_THREADS, 1)
+                .set(Options.WORKER_TASK_CORE_THREADS, 1)
+                .set(Options.WORKER_TASK_MAX_THREADS, 1)
+                .set(Options.TCP_NODELAY, true)
+                .getMap());
+    }
+
+    static DefaultByteBufferPool buffers() {
+        return new DefaultByteBufferPool(false, Constants.BUFFER_BYTES, Constants.BUFFERS_KEPT, 0);
+    }
+
     private static int serve(Settings settings) {
         Logger log = LoggerFactory.getLogger(Main.class);
         try {
-            XnioWorker worker = Xnio.getInstance().createWorker(OptionMap.builder()
-                    .set(Options.WORKER_IO_THREADS, 1)
-                    .set(Options.WORKER_TASK_CORE_THREADS, 1)
-                    .set(Options.WORKER_TASK_MAX_THREADS, 1)
-                    .set(Options.TCP_NODELAY, true)
-                    .getMap());
+            XnioWorker worker = worker();
             XnioIoThread thread = worker.getIoThread();
-            DefaultByteBufferPool buffers = new DefaultByteBufferPool(false, Constants.BUFFER_BYTES,
-                    Constants.BUFFERS_KEPT, 0);
+            DefaultByteBufferPool buffers = buffers();
             Controller controller = new Controller(settings, new XnioLoop(thread),
                     new UndertowCaller(thread, buffers), new java.util.SplittableRandom());
             UndertowServer.start(worker, buffers, settings.serveOn(), controller::serve);
--- a/src/main/java/org/spoolline/net/UndertowServer.java
+++ b/src/main/java/org/spoolline/net/UndertowServer.java
@@ -20,7 +20,7 @@
     }
 
     /** Starts listening; throws when the address can't be bound. */
-    public static Undertow start(XnioWorker worker, ByteBufferPool buffers, String address, Http.Handler handler) {
+    public static void start(XnioWorker worker, ByteBufferPool buffers, String address, Http.Handler handler) {
         int colon = address.lastIndexOf(':');
         Undertow server = Undertow.builder()
                 .setWorker(worker)
@@ -32,7 +32,6 @@
                         exchange -> receive(exchange, handler))
                 .build();
         server.start();
-        return server;
     }
 
     private static void receive(HttpServerExchange exchange, Http.Handler handler) {
