Hold the answer to a report that brings task ends until the next launch is committed

Cause: a task that ended freed room at once, but the next launch waited for the following report, up to 3.75 s later. The answer to a check-in with ends (or of a machine just up) now waits up to 0.6 s for the round's commit and carries the launch. Such answers are still dropped by the worker after 4 s, so none is carried out late. Only workers' reports are held; users' requests are answered at once. Ruled out: shorter rounds; they are 40 ms at this load.

--- a/src/main/java/org/spoolline/Controller.java
+++ b/src/main/java/org/spoolline/Controller.java
@@ -41,7 +41,17 @@
         rounds = new Rounds(loop, settings, state, leadership, catalog, machines, jobs);
         fleet = new Fleet(loop, http, settings, leadership, catalog, machines, rounds::poke);
         checkIns = new CheckIns(loop, leadership, machines, jobs, rounds, rounds::poke);
-        rounds.connect(fleet, () -> checkIns.ready(true));
+        rounds.connect(fleet, new Rounds.Outcomes() {
+            @Override
+            public void loaded() {
+                checkIns.ready(true);
+            }
+
+            @Override
+            public void written(boolean settled) {
+                checkIns.flush(settled);
+            }
+        });
         peers = new Peers(loop, http, settings, state, leadership);
     }
 
--- a/src/main/java/org/spoolline/placement/Rounds.java
+++ b/src/main/java/org/spoolline/placement/Rounds.java
@@ -47,7 +47,7 @@
     private final MachineTable machines;
     private final JobTable jobs;
     private Fleet fleet;
-    private Runnable whenLoaded;
+    private Outcomes outcomes;
 
     private long term;
     private Evidence evidence;
@@ -59,6 +59,15 @@
     private final Map<String, Map<Machine.Start, Double>> stops = new HashMap<>();
     private List<Placer.Want> wants = List.of();
 
+    /** Who is told what the rounds have brought about. */
+    public interface Outcomes {
+        /** The live pipelines are known under the present token. */
+        void loaded();
+
+        /** Values were written; with {@code settled}, nothing more is under way. */
+        void written(boolean settled);
+    }
+
     /** A value to be rewritten in this round. */
     private record Change(JobTable.Entry entry, Pipeline next) {
     }
@@ -74,9 +83,9 @@
         this.jobs = jobs;
     }
 
-    public void connect(Fleet toFleet, Runnable loadedSignal) {
+    public void connect(Fleet toFleet, Outcomes toOutcomes) {
         fleet = toFleet;
-        whenLoaded = loadedSignal;
+        outcomes = toOutcomes;
     }
 
     /** Forgets the picture of any earlier term and reads the live pipelines, which the election has fenced. */
@@ -120,7 +129,7 @@
             if (!loaded) {
                 loaded = true;
                 LOG.info("{} live pipelines read under token {}", listing.items().size(), mine);
-                whenLoaded.run();
+                outcomes.loaded();
             }
             watch(mine, listing.revision());
             poke();
@@ -212,6 +221,7 @@
         lastBatch = changes.size();
         write(new ArrayList<>(changes.values()));
         fleet.pass(wants, machinesWithWork()::contains);
+        outcomes.written(txnsInFlight == 0);
     }
 
     /** Steps one pipeline by what is proven about its attempts; null when nothing changes. */
@@ -468,6 +478,7 @@
             txnsInFlight--;
             if (fate == StateClient.Fate.APPLIED) {
                 batch.forEach(change -> applied(change, outcome.revision()));
+                outcomes.written(false);
             } else if (fate == StateClient.Fate.CONFLICT) {
                 conflict(batch, outcome.failed(), mine);
             } else {
--- a/src/main/java/org/spoolline/settings/Constants.java
+++ b/src/main/java/org/spoolline/settings/Constants.java
@@ -64,6 +64,9 @@
     /** Ms between rounds without any event: time alone (silence, idleness) is evidence too. */
     public static final long ROUND_IDLE_MS = 1_000;
 
+    /** Ms for which the answer to a report that brings ends is held, so that it can carry the next launches. */
+    public static final long HOLD_MS = 600;
+
     /** Tasks past the first unfinished one that may be active: bounds the stored join. */
     public static final int JOIN_WINDOW = 8192;
     /** Share of the value limit that new placements may fill; completions need the rest. */
--- a/src/main/java/org/spoolline/workers/CheckIns.java
+++ b/src/main/java/org/spoolline/workers/CheckIns.java
@@ -2,6 +2,8 @@
 
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
@@ -12,6 +14,7 @@
 import org.spoolline.net.Loop;
 import org.spoolline.pipeline.Attempt;
 import org.spoolline.placement.JobTable;
+import org.spoolline.settings.Constants;
 
 /**
  * Answers the workers' check-ins. Wanted: each machine holds just the attempts stored for it; the orders are the
@@ -33,6 +36,7 @@
     private final JobTable jobs;
     private final Stops stops;
     private final Runnable news;
+    private final Map<String, Held> waiting = new LinkedHashMap<>();
     private boolean ready;
 
     public CheckIns(Loop loop, Leadership leadership, MachineTable machines, JobTable jobs, Stops stops,
@@ -74,18 +78,85 @@
             LOG.info("machine {} {} in {} is up, session {}", machine.name(), machine.type(), machine.zone(),
                     machine.session());
         }
-        ObjectNode body = Json.object().put("baton", leadership.token());
-        ArrayNode orders = body.putArray("orders");
-        if (newer && ready && leadership.valid()) {
-            give(machine, orders);
+        Held held = new Held(machine, machine.tick(), newer, answer);
+        Held older = waiting.remove(machine.name());
+        if (older != null) {
+            older.answer(false);
+        }
+        if (newer && (first || bringsEnds(machine)) && leadership.valid()) {
+            // Room has come free: the next task's launch is only a commit away, the next report seconds.
+            waiting.put(machine.name(), held);
+            loop.after(Constants.HOLD_MS, () -> release(held));
+        } else {
+            held.answer(newer);
         }
-        machine.answered(loop.now());
-        answer.accept(Http.Response.of(200, Json.bytes(body)));
         if (newer) {
             news.run();
         }
     }
 
+    private boolean bringsEnds(Machine machine) {
+        Map<Machine.Start, Attempt> stored = jobs.on(machine.name());
+        return machine.tasks().values().stream().anyMatch(t -> t.phase() == TaskReport.Phase.EXITED
+                && stored.containsKey(new Machine.Start(t.uid(), t.task(), t.attempt())));
+    }
+
+    /** Answers held reports of machines that have launches to carry out by now; with {@code all}, every one. */
+    public void flush(boolean all) {
+        for (Held held : List.copyOf(waiting.values())) {
+            if (all || launchable(held.machine)) {
+                release(held);
+            }
+        }
+    }
+
+    private void release(Held held) {
+        if (waiting.remove(held.machine.name(), held)) {
+            held.answer(true);
+        }
+    }
+
+    /** A report whose answer is held back for a moment; it is answered once. */
+    private final class Held {
+        private final Machine machine;
+        private final long session;
+        private final long tick;
+        private final boolean newer;
+        private final Consumer<Http.Response> answer;
+
+        Held(Machine machine, long tick, boolean newer, Consumer<Http.Response> answer) {
+            this.machine = machine;
+            this.session = machine.session();
+            this.tick = tick;
+            this.newer = newer;
+            this.answer = answer;
+        }
+
+        void answer(boolean withOrders) {
+            if (!leadership.mayKeepAlive() || machine.gone()) {
+                answer.accept(Http.Response.of(503, error("not leading any more")));
+                return;
+            }
+            ObjectNode body = Json.object().put("baton", leadership.token());
+            ArrayNode orders = body.putArray("orders");
+            if (withOrders && newer && ready && leadership.valid() && machine.session() == session
+                    && machine.tick() == tick) {
+                give(machine, orders);
+            }
+            machine.answered(loop.now());
+            answer.accept(Http.Response.of(200, Json.bytes(body)));
+        }
+    }
+
+    private boolean launchable(Machine machine) {
+        for (Map.Entry<Machine.Start, Attempt> e : jobs.on(machine.name()).entrySet()) {
+            if (e.getValue().session() == machine.session() && !machine.tasks().containsKey(e.getKey())) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     private void redirect(Consumer<Http.Response> answer) {
         String leader = leadership.knownLeader();
         if (leader == null) {
