Urgent gangs may clear machines of lower-priority work

A gang that finds no room now reserves the machine where stopping work of lower priority loses least; savers get their grace.

--- a/src/main/java/org/spoolline/fleet/RentalPlan.java
+++ b/src/main/java/org/spoolline/fleet/RentalPlan.java
@@ -8,6 +8,7 @@
 import java.util.function.Predicate;
 import org.spoolline.pipeline.Submission;
 import org.spoolline.placement.Placer;
+import org.spoolline.settings.Constants;
 
 /** Decides what to rent for the tasks that found no room. Pure. */
 public final class RentalPlan {
@@ -39,8 +40,8 @@
                 return 0;
             }
             int taken = 0;
-            while (taken < tasks && job.cores() <= cores + 1e-6 && job.memoryGb() <= memoryGb + 1e-6
-                    && job.accelerators() <= accelerators + 1e-6) {
+            while (taken < tasks && job.cores() <= cores + Constants.EPSILON && job.memoryGb() <= memoryGb + Constants.EPSILON
+                    && job.accelerators() <= accelerators + Constants.EPSILON) {
                 cores -= job.cores();
                 memoryGb -= job.memoryGb();
                 accelerators -= job.accelerators();
--- a/src/main/java/org/spoolline/placement/Node.java
+++ b/src/main/java/org/spoolline/placement/Node.java
@@ -1,12 +1,13 @@
 package org.spoolline.placement;
 
 import org.spoolline.fleet.MachineType;
+import org.spoolline.pipeline.Pipeline;
 import org.spoolline.pipeline.Submission;
+import org.spoolline.settings.Constants;
 import org.spoolline.workers.Machine;
 
 /** A machine's free room while a plan is made; {@code machine} is null for one that is only to be rented. */
 final class Node {
-    private static final double EPSILON = 1e-6;
     final Machine machine;
     final MachineType type;
     final String zone;
@@ -14,6 +15,8 @@
     double cores;
     double accelerators;
     double memoryGb;
+    /** The job for which this machine is being cleared, or null. */
+    String reservedFor;
 
     Node(Machine machine, MachineType type, String zone, boolean spot) {
         this.machine = machine;
@@ -30,9 +33,15 @@
                 && (job.zone() == null || job.zone().equals(zone)) && (job.spot() || !spot);
     }
 
+    /** True when the job may use this machine, room apart. */
+    boolean openTo(Pipeline job) {
+        return allows(job.spec()) && !job.avoids(machine.name())
+                && (reservedFor == null || reservedFor.equals(job.uid()));
+    }
+
     boolean fits(Submission job) {
-        return job.cores() <= cores + EPSILON && job.accelerators() <= accelerators + EPSILON
-                && job.memoryGb() <= memoryGb + EPSILON;
+        return job.cores() <= cores + Constants.EPSILON && job.accelerators() <= accelerators + Constants.EPSILON
+                && job.memoryGb() <= memoryGb + Constants.EPSILON;
     }
 
     void take(Submission job) {
--- a/src/main/java/org/spoolline/placement/Picture.java
+++ b/src/main/java/org/spoolline/placement/Picture.java
@@ -14,9 +14,11 @@
  * @param jobs        live pipelines as they will stand after this round's evidence
  * @param holding     attempts that occupy room, by job; for a job whose write is in flight, old and new ones
  * @param placeable   ids of jobs that may be changed in this round
+ * @param reserved   machines that are being cleared, with the job they are cleared for
  * @param usable      machines that take work now
  */
 public record Picture(List<Pipeline> jobs, Map<String, List<Attempt>> holding, java.util.Set<String> placeable,
                       Map<String, Machine> machines, List<Machine> usable,
-                      Map<String, MachineType> types, Settings settings, long timeOfDay) {
+                      Map<String, String> reserved, Map<String, MachineType> types, Settings settings,
+                      long timeOfDay, long now) {
 }
--- a/src/main/java/org/spoolline/placement/Placer.java
+++ b/src/main/java/org/spoolline/placement/Placer.java
@@ -12,12 +12,12 @@
 import org.spoolline.pipeline.Attempt;
 import org.spoolline.pipeline.Pipeline;
 import org.spoolline.pipeline.Submission;
+import org.spoolline.settings.Constants;
 import org.spoolline.settings.Settings;
 import org.spoolline.workers.Machine;
 
 /** Decides what runs where: guarantees first, then priority, then release order. Pure: (picture, now) to plan. */
 public final class Placer {
-    private static final double EPSILON = 1e-6;
     private static final String UNKNOWN_ZONE = "?";
 
     /** One task to be started. */
@@ -28,8 +28,12 @@
     public record Want(Pipeline job, int tasks) {
     }
 
-    /** What to start, and what found no room, most urgent first. */
-    public record Plan(Map<String, List<Placement>> placements, List<Want> wants) {
+    /** Machines to be cleared for a job, and the attempts that have to leave them, with the grace in seconds. */
+    public record Clearing(String uid, Set<String> machines, Map<Machine.Start, Double> leaving) {
+    }
+
+    /** What to start, what found no room, most urgent first, and what to clear for it. */
+    public record Plan(Map<String, List<Placement>> placements, List<Want> wants, List<Clearing> clearings) {
     }
 
     private final Picture picture;
@@ -52,6 +56,7 @@
             MachineType type = picture.types().get(m.type());
             if (type != null) {
                 Node node = new Node(m, type, m.zone(), m.spot());
+                node.reservedFor = picture.reserved().get(m.name());
                 nodes.add(node);
                 byName.put(m.name(), node);
             }
@@ -73,7 +78,7 @@
             }
             place(job);
         }
-        return new Plan(placements, wants);
+        return new Plan(placements, wants, new Preemption(picture, nodes).clear(wants));
     }
 
     private List<Attempt> held(Pipeline job) {
@@ -102,7 +107,7 @@
             double[] sum = sums.computeIfAbsent(team.name(), t -> new double[2]);
             sum[0] += job.spec().cores() * job.spec().tasks();
             sum[1] += job.spec().accelerators() * job.spec().tasks();
-            if (sum[0] <= team.cores() + EPSILON && sum[1] <= team.accelerators() + EPSILON) {
+            if (sum[0] <= team.cores() + Constants.EPSILON && sum[1] <= team.accelerators() + Constants.EPSILON) {
                 within.add(job.uid());
             }
         }
@@ -121,7 +126,7 @@
         }
         List<Node> fitting = new ArrayList<>();
         for (Node node : nodes) {
-            if (node.allows(spec) && node.fits(spec) && !job.avoids(node.machine.name())) {
+            if (node.openTo(job) && node.fits(spec)) {
                 fitting.add(node);
             }
         }
@@ -216,9 +221,9 @@
             return 0;
         }
         double[] use = teamUse.computeIfAbsent(spec.team(), t -> new double[2]);
-        double room = Math.floor((team.coresMax() - use[0]) / spec.cores() + EPSILON);
+        double room = Math.floor((team.coresMax() - use[0]) / spec.cores() + Constants.EPSILON);
         if (spec.accelerators() > 0) {
-            room = Math.min(room, Math.floor((team.acceleratorsMax() - use[1]) / spec.accelerators() + EPSILON));
+            room = Math.min(room, Math.floor((team.acceleratorsMax() - use[1]) / spec.accelerators() + Constants.EPSILON));
         }
         return (int) Math.max(0, Math.min(room, Integer.MAX_VALUE));
     }
--- a/src/main/java/org/spoolline/placement/Rounds.java
+++ b/src/main/java/org/spoolline/placement/Rounds.java
@@ -57,8 +57,13 @@
     private int txnsInFlight;
     private long lastRoundAt;
     private final Map<String, Map<Machine.Start, Double>> stops = new HashMap<>();
+    private final Map<String, Reservation> reservations = new LinkedHashMap<>();
     private List<Placer.Want> wants = List.of();
 
+    /** Machines that are being cleared for a job. */
+    private record Reservation(Placer.Clearing clearing, long since) {
+    }
+
     /** Who is told what the rounds have brought about. */
     public interface Outcomes {
         /** The live pipelines are known under the present token. */
@@ -98,6 +103,7 @@
         jobs.clear();
         machines.clear();
         stops.clear();
+        reservations.clear();
         wants = List.of();
         load(token);
         tick(token);
@@ -202,6 +208,7 @@
             return;
         }
         lastRoundAt = loop.now();
+        lapseReservations();
         Map<String, Pipeline> working = new LinkedHashMap<>();
         Map<String, Change> changes = new LinkedHashMap<>();
         for (JobTable.Entry entry : jobs.entries()) {
@@ -217,6 +224,13 @@
         }
         Placer.Plan plan = Placer.plan(picture(working));
         wants = plan.wants();
+        for (Placer.Clearing clearing : plan.clearings()) {
+            reservations.put(clearing.uid(), new Reservation(clearing, loop.now()));
+            clearing.leaving().forEach((start, grace) ->
+                    stops.computeIfAbsent(start.uid(), u -> new HashMap<>()).put(start, grace));
+            LOG.info("clearing {} for {}: {} tasks leave", clearing.machines(), clearing.uid(),
+                    clearing.leaving().size());
+        }
         plan.placements().forEach((uid, placed) -> place(uid, placed, changes));
         lastBatch = changes.size();
         write(new ArrayList<>(changes.values()));
@@ -224,16 +238,33 @@
         outcomes.written(txnsInFlight == 0);
     }
 
+    /** A reservation ends when its job has started or is over, or when it has led to nothing for too long. */
+    private void lapseReservations() {
+        reservations.values().removeIf(r -> {
+            JobTable.Entry entry = jobs.get(r.clearing().uid());
+            return entry == null || entry.cancelled() || !entry.confirmed().attempts().isEmpty()
+                    || loop.now() - r.since() > Constants.RESERVED_MS;
+        });
+    }
+
     /** Steps one pipeline by what is proven about its attempts; null when nothing changes. */
     private Pipeline weigh(JobTable.Entry entry) {
         Pipeline now = entry.confirmed();
         Submission spec = now.spec();
         stops.remove(now.uid());
+        for (Reservation r : reservations.values()) {
+            r.clearing().leaving().forEach((start, grace) -> {
+                if (start.uid().equals(now.uid())) {
+                    stops.computeIfAbsent(start.uid(), u -> new HashMap<>()).put(start, grace);
+                }
+            });
+        }
         Pipeline next = null;
         for (Attempt attempt : now.attempts()) {
             Machine machine = machines.get(attempt.machine());
             Evidence.Finding finding = evidence.judge(now.uid(), attempt, machine, loop.now());
-            boolean unwanted = now.cancelled() || noticeStop(spec, machine, attempt, now);
+            boolean unwanted = now.cancelled() || noticeStop(spec, machine, attempt, now)
+                    || graceOf(Machine.Start.of(now.uid(), attempt)) != null;
             switch (finding.verdict()) {
                 case EXITED -> {
                     next = next == null ? now.copy() : next;
@@ -364,8 +395,10 @@
                 usable.add(m);
             }
         }
-        return new Picture(all, holding, placeable, machines.byName(), usable, catalog.types(), settings,
-                loop.timeOfDay());
+        Map<String, String> reserved = new HashMap<>();
+        reservations.forEach((uid, r) -> r.clearing().machines().forEach(m -> reserved.put(m, uid)));
+        return new Picture(all, holding, placeable, machines.byName(), usable, reserved, catalog.types(), settings,
+                loop.timeOfDay(), loop.now());
     }
 
     private void place(String uid, List<Placer.Placement> placed, Map<String, Change> changes) {
--- a/src/main/java/org/spoolline/settings/Constants.java
+++ b/src/main/java/org/spoolline/settings/Constants.java
@@ -67,6 +67,11 @@
     /** Ms for which the answer to a report that brings ends is held, so that it can carry the next launches. */
     public static final long HOLD_MS = 600;
 
+    /** Amounts closer than this are equal: they are decimal numbers added and taken off many times. */
+    public static final double EPSILON = 1e-6;
+    /** Ms after which machines cleared for a job that has still not started there are given free again. */
+    public static final long RESERVED_MS = 20_000;
+
     /** Tasks past the first unfinished one that may be active: bounds the stored join. */
     public static final int JOIN_WINDOW = 8192;
     /** Share of the value limit that new placements may fill; completions need the rest. */
--- a/src/main/java/org/spoolline/workers/Machine.java
+++ b/src/main/java/org/spoolline/workers/Machine.java
@@ -32,6 +32,7 @@
     private boolean gone;
     private boolean draining;
     private final Map<Start, Long> launchTicks = new HashMap<>();
+    private final Map<Start, Long> runningSince = new HashMap<>();
     private final Set<String> errorJobs = new HashSet<>();
     private final LinkedHashMap<String, Double> images = new LinkedHashMap<>();
     private final long knownSince;
@@ -164,6 +165,12 @@
             launchTicks.remove(new Start(t.uid(), t.task(), t.attempt()));
         }
         tasks = listing;
+        runningSince.keySet().retainAll(listing.keySet());
+        for (TaskReport t : report.tasks()) {
+            if (t.phase() == TaskReport.Phase.RUNNING) {
+                runningSince.putIfAbsent(new Start(t.uid(), t.task(), t.attempt()), now);
+            }
+        }
         return true;
     }
 
@@ -182,6 +189,12 @@
         return launchTicks.containsKey(start);
     }
 
+    /** Ms for which the task has been seen running here. */
+    public long ranMs(Start start, long now) {
+        Long since = runningSince.get(start);
+        return since == null ? 0 : now - since;
+    }
+
     /** Notes a failure here; returns the number of different jobs that failed since a task last completed. */
     public int failed(String uid) {
         errorJobs.add(uid);
