--- a/src/main/java/org/spoolline/placement/Placer.java
+++ b/src/main/java/org/spoolline/placement/Placer.java
@@ -130,10 +130,11 @@
                 fitting.add(node);
             }
         }
-        // The image at hand first, then the smallest type that does, then the fullest machine, so that big machines
-        // stay free for big tasks and machines empty out.
+        // The image at hand first, then the smallest type that does, so that big machines stay free for big tasks;
+        // then cheap machines, and the fullest of them, so that the dear ones empty out and can be returned.
         fitting.sort(Comparator.<Node>comparingInt(n -> n.hasImage(spec.image()) ? 0 : 1)
-                .thenComparingDouble(n -> n.type.cores()).thenComparingDouble(n -> n.cores)
+                .thenComparingDouble(n -> n.type.cores()).thenComparingInt(n -> n.spot ? 0 : 1)
+                .thenComparingDouble(n -> n.cores)
                 .thenComparing(n -> n.machine.name()));
         List<Node> chosen = choose(job, fitting, allowed);
         if (spec.gang() && chosen.size() < allowed) {
--- a/src/main/java/org/spoolline/settings/Constants.java
+++ b/src/main/java/org/spoolline/settings/Constants.java
@@ -97,6 +97,8 @@
     public static final int DELETE_MAX = 100;
     /** Ms an idle machine is kept: work arrives in bursts, and a boot costs more than a short wait. */
     public static final long IDLE_MS = 20_000;
+    /** Ms an idle spot machine is kept: it costs a fraction, and its place may be refused later. */
+    public static final long IDLE_SPOT_MS = 120_000;
     /** Ms every machine costs at least; younger ones gain nothing by an early return. */
     public static final long MIN_CHARGE_MS = 60_000;
     /** Times the nominal boot time after which a machine is given up. */
