--- a/src/main/java/org/spoolline/placement/Placer.java
+++ b/src/main/java/org/spoolline/placement/Placer.java
@@ -121,7 +121,7 @@
         if (allowed <= 0 || job.notBefore() > picture.timeOfDay() || !picture.placeable().contains(job.uid())) {
             return;
         }
-        if (spec.gang() && (allowed < spec.tasks() || !held(job).isEmpty())) {
+        if (spec.gang() && allowed < ready) {
             return;
         }
         List<Node> fitting = new ArrayList<>();
--- a/src/main/java/org/spoolline/placement/Rounds.java
+++ b/src/main/java/org/spoolline/placement/Rounds.java
@@ -32,7 +32,7 @@
  * The leader's rounds of decisions. Each takes all evidence that has come since the last one, steps the pipelines,
  * places what is ready and rewrites every changed value once. Rounds widen with the number of values they change.
  */
-public final class Rounds implements CheckIns.Stops {
+public final class Rounds implements CheckIns.Wishes {
     /** Prefix of live pipelines. */
     public static final String JOBS = "job/";
     /** Prefix of lasting records of jobs that are over. */
@@ -57,6 +57,8 @@
     private int txnsInFlight;
     private long lastRoundAt;
     private final Map<String, Map<Machine.Start, Double>> stops = new HashMap<>();
+    /** Gang tasks whose machine has the image, while others of the gang have to fetch it. */
+    private final Map<String, Set<Machine.Start>> afterMates = new HashMap<>();
     private final Map<String, Reservation> reservations = new LinkedHashMap<>();
     private List<Placer.Want> wants = List.of();
 
@@ -103,6 +105,7 @@
         jobs.clear();
         machines.clear();
         stops.clear();
+        afterMates.clear();
         reservations.clear();
         wants = List.of();
         load(token);
@@ -203,6 +206,33 @@
         return stops.getOrDefault(start.uid(), Map.of()).get(start);
     }
 
+    /**
+     * A gang's task that finds its image at hand would wait for the others and give up after gang_wait_s, which a
+     * fetch can exceed; it is launched once all who fetch have their image.
+     */
+    @Override
+    public boolean mayLaunch(Machine.Start start) {
+        Set<Machine.Start> late = afterMates.get(start.uid());
+        JobTable.Entry entry = jobs.get(start.uid());
+        if (late == null || entry == null || !late.contains(start)) {
+            return true;
+        }
+        for (Attempt a : entry.confirmed().attempts()) {
+            Machine.Start other = Machine.Start.of(start.uid(), a);
+            if (!late.contains(other) && phase(other, a) == TaskReport.Phase.FETCHING) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /** The task's phase as last reported; one not yet seen counts as fetching. */
+    private TaskReport.Phase phase(Machine.Start start, Attempt attempt) {
+        Machine machine = machines.get(attempt.machine());
+        TaskReport report = machine == null ? null : machine.tasks().get(start);
+        return report == null ? TaskReport.Phase.FETCHING : report.phase();
+    }
+
     private void round() {
         if (!loaded || !leadership.valid()) {
             return;
@@ -298,7 +328,12 @@
 
     /** A gang that has lost a member ends as a whole, and starts again once every member is proven gone. */
     private Pipeline weighGang(Pipeline now, Pipeline result, Pipeline next) {
-        boolean broken = result.attempts().size() < now.spec().tasks();
+        boolean started = result.attempts().stream().anyMatch(a -> switch (phase(Machine.Start.of(now.uid(), a), a)) {
+            case FETCHING, GATHERING -> false;
+            default -> true;
+        });
+        // Before the start, the rest may wait for a replacement under the same attempt number.
+        boolean broken = result.attempts().size() < now.spec().tasks() && started;
         boolean stopping = result.attempts().stream().anyMatch(a -> graceOf(Machine.Start.of(now.uid(), a)) != null);
         if (!broken && !stopping) {
             return next;
@@ -383,7 +418,7 @@
                 Set<Attempt> union = new HashSet<>(entry.confirmed().attempts());
                 union.addAll(entry.proposed().attempts());
                 holding.put(e.getKey(), List.copyOf(union));
-            } else {
+            } else if (mendable(e.getValue())) {
                 placeable.add(e.getKey());
             }
             all.add(e.getValue());
@@ -401,17 +436,27 @@
                 loop.timeOfDay(), loop.now());
     }
 
+    /** A gang that lacks members is completed once those it has wait with their image, so that nobody waits long. */
+    private boolean mendable(Pipeline job) {
+        return !job.spec().gang() || job.attempts().stream()
+                .allMatch(a -> phase(Machine.Start.of(job.uid(), a), a) == TaskReport.Phase.GATHERING);
+    }
+
     private void place(String uid, List<Placer.Placement> placed, Map<String, Change> changes) {
         JobTable.Entry entry = jobs.get(uid);
         Change change = changes.get(uid);
         Pipeline next = change == null ? entry.confirmed().copy() : change.next();
-        long number = next.nextAttempt();
         Submission spec = next.spec();
+        long number = spec.gang() && !next.attempts().isEmpty() ? next.attempts().get(0).number() : next.nextAttempt();
+        Set<Machine.Start> atHand = new HashSet<>();
         List<Attempt> added = new ArrayList<>();
         for (Placer.Placement p : placed) {
             Attempt attempt = new Attempt(p.task(), number, p.machine().name(), p.machine().session());
             next.place(attempt);
             added.add(attempt);
+            if (p.machine().hasImage(spec.image())) {
+                atHand.add(Machine.Start.of(uid, attempt));
+            }
             double cache = catalog.types().get(p.machine().type()).cacheGb();
             p.machine().useImage(spec.image(), spec.imageGb(), cache);
         }
@@ -423,6 +468,9 @@
                 next.remove(added.remove(added.size() - 1));
             }
         }
+        if (spec.gang()) {
+            afterMates.put(uid, atHand);
+        }
         if (!added.isEmpty() && change == null) {
             changes.put(uid, new Change(entry, next));
         }
@@ -528,6 +576,7 @@
             LOG.info("{} is over: {}", next.uid(), next.finished() ? "done" : "cancelled");
             jobs.drop(next.uid(), revision);
             stops.remove(next.uid());
+            afterMates.remove(next.uid());
         } else {
             jobs.applied(change.entry(), revision);
         }
--- a/src/main/java/org/spoolline/workers/CheckIns.java
+++ b/src/main/java/org/spoolline/workers/CheckIns.java
@@ -25,27 +25,31 @@
     /** Orders in one answer: keeps its single line well under 64 KiB. */
     private static final int MAX_ORDERS = 400;
 
-    /** Which stored attempts are to end, with the grace in seconds; null for those that are to go on. */
-    public interface Stops {
+    /** What the rounds want of stored attempts. */
+    public interface Wishes {
+        /** The grace in seconds with which an attempt is to end; null for those that are to go on. */
         Double graceOf(Machine.Start start);
+
+        /** False while a stored attempt had better not be launched yet. */
+        boolean mayLaunch(Machine.Start start);
     }
 
     private final Loop loop;
     private final Leadership leadership;
     private final MachineTable machines;
     private final JobTable jobs;
-    private final Stops stops;
+    private final Wishes wishes;
     private final Runnable news;
     private final Map<String, Held> waiting = new LinkedHashMap<>();
     private boolean ready;
 
-    public CheckIns(Loop loop, Leadership leadership, MachineTable machines, JobTable jobs, Stops stops,
+    public CheckIns(Loop loop, Leadership leadership, MachineTable machines, JobTable jobs, Wishes wishes,
                     Runnable news) {
         this.loop = loop;
         this.leadership = leadership;
         this.machines = machines;
         this.jobs = jobs;
-        this.stops = stops;
+        this.wishes = wishes;
         this.news = news;
     }
 
@@ -189,6 +193,7 @@
             Machine.Start start = e.getKey();
             if (orders.size() < MAX_ORDERS && e.getValue().session() == machine.session()
                     && !machine.tasks().containsKey(start) && grace(start, e.getValue()) == null
+                    && wishes.mayLaunch(start)
                     && noOtherAttempt(machine, start)) {
                 order(orders, "launch", start);
                 machine.launched(start);
@@ -204,7 +209,7 @@
         if (entry == null || entry.cancelled() || !entry.holds(attempt)) {
             return 0.0;
         }
-        return stops.graceOf(start);
+        return wishes.graceOf(start);
     }
 
     private static boolean noOtherAttempt(Machine machine, Machine.Start wanted) {
