--- a/src/main/java/org/spoolline/settings/Constants.java
+++ b/src/main/java/org/spoolline/settings/Constants.java
@@ -95,8 +95,8 @@
     public static final int RENT_MAX = 50;
     /** Machines of one deletion request, by the protocol. */
     public static final int DELETE_MAX = 100;
-    /** Ms an idle machine is kept: work arrives in bursts, and a boot costs more than a short wait. */
-    public static final long IDLE_MS = 20_000;
+    /** Ms an idle machine is kept: long enough for the work just freed or accepted to be placed on it. */
+    public static final long IDLE_MS = 6_000;
     /** Ms an idle spot machine is kept: it costs a fraction, and its place may be refused later. */
     public static final long IDLE_SPOT_MS = 120_000;
     /** Ms every machine costs at least; younger ones gain nothing by an early return. */
