--- a/src/main/java/org/spoolline/placement/Node.java
+++ b/src/main/java/org/spoolline/placement/Node.java
@@ -56,7 +56,8 @@
         memoryGb += job.memoryGb();
     }
 
-    boolean hasImage(String image) {
-        return machine != null && machine.hasImage(image);
+    /** Seconds until the job's image is here. */
+    double fetchS(Submission job) {
+        return machine.hasImage(job.image()) ? 0 : job.imageGb() / type.fetchGbPerS();
     }
 }
--- a/src/main/java/org/spoolline/placement/Placer.java
+++ b/src/main/java/org/spoolline/placement/Placer.java
@@ -132,7 +132,7 @@
         }
         // The image at hand first, then the smallest type that does, so that big machines stay free for big tasks;
         // then cheap machines, and the fullest of them, so that the dear ones empty out and can be returned.
-        fitting.sort(Comparator.<Node>comparingInt(n -> n.hasImage(spec.image()) ? 0 : 1)
+        fitting.sort(Comparator.<Node>comparingInt(n -> n.fetchS(spec) < Constants.SHORT_FETCH_S ? 0 : 1)
                 .thenComparingDouble(n -> n.type.cores()).thenComparingInt(n -> n.spot ? 0 : 1)
                 .thenComparingDouble(n -> n.cores)
                 .thenComparing(n -> n.machine.name()));
--- a/src/main/java/org/spoolline/placement/Preemption.java
+++ b/src/main/java/org/spoolline/placement/Preemption.java
@@ -133,7 +133,7 @@
         double memory = node.memoryGb;
         double accelerators = node.accelerators;
         List<Victim> leaving = new ArrayList<>();
-        double cost = node.hasImage(spec.image()) ? 0 : spec.cores() * spec.imageGb() / node.type.fetchGbPerS();
+        double cost = spec.cores() * node.fetchS(spec);
         List<Victim> here = new ArrayList<>(victims.getOrDefault(node.machine.name(), List.of()));
         here.removeIf(v -> v.job().spec().priority().compareTo(spec.priority()) >= 0);
         here.sort(Comparator.comparingDouble(Victim::loss));
--- a/src/main/java/org/spoolline/settings/Constants.java
+++ b/src/main/java/org/spoolline/settings/Constants.java
@@ -69,6 +69,8 @@
 
     /** Amounts closer than this are equal: they are decimal numbers added and taken off many times. */
     public static final double EPSILON = 1e-6;
+    /** Seconds of an image fetch below which it does not matter where the image is. */
+    public static final double SHORT_FETCH_S = 6;
     /** Ms after which machines cleared for a job that has still not started there are given free again. */
     public static final long RESERVED_MS = 20_000;
 
@@ -98,7 +100,7 @@
     /** Ms an idle machine is kept: long enough for the work just freed or accepted to be placed on it. */
     public static final long IDLE_MS = 6_000;
     /** Ms an idle spot machine is kept: it costs a fraction, and its place may be refused later. */
-    public static final long IDLE_SPOT_MS = 120_000;
+    public static final long IDLE_SPOT_MS = 20_000;
     /** Ms every machine costs at least; younger ones gain nothing by an early return. */
     public static final long MIN_CHARGE_MS = 60_000;
     /** Times the nominal boot time after which a machine is given up. */
