--- a/src/main/java/org/spoolline/placement/Placer.java
+++ b/src/main/java/org/spoolline/placement/Placer.java
@@ -25,7 +25,7 @@
     }
 
     /** Tasks of a job that found no room, limited to what its team may run. */
-    public record Want(Pipeline job, int tasks) {
+    public record Want(Pipeline job, int tasks, boolean withinGuarantee) {
     }
 
     /** Machines to be cleared for a job, and the attempts that have to leave them, with the grace in seconds. */
@@ -41,6 +41,7 @@
     private final Map<String, double[]> teamUse = new HashMap<>();
     private final Map<String, List<Placement>> placements = new LinkedHashMap<>();
     private final List<Want> wants = new ArrayList<>();
+    private Set<String> within = Set.of();
 
     private Placer(Picture picture) {
         this.picture = picture;
@@ -72,13 +73,16 @@
                 }
             }
         }
-        for (Pipeline job : inOrder(picture.jobs(), picture.settings())) {
+        List<Pipeline> byRelease = new ArrayList<>(picture.jobs());
+        byRelease.sort(Comparator.comparingLong(Pipeline::acceptedAt).thenComparing(Pipeline::uid));
+        within = within(byRelease, picture.settings());
+        for (Pipeline job : inOrder(byRelease, within)) {
             if (job.finished() || job.cancelled()) {
                 continue;
             }
             place(job);
         }
-        return new Plan(placements, wants, new Preemption(picture, nodes).clear(wants));
+        return new Plan(placements, wants, new Preemption(picture, nodes, within, teamUse).clear(wants));
     }
 
     private List<Attempt> held(Pipeline job) {
@@ -86,13 +90,11 @@
     }
 
     /** Release order within priority, with the jobs inside their team's guarantee first. */
-    static List<Pipeline> inOrder(List<Pipeline> jobs, Settings settings) {
-        List<Pipeline> byRelease = new ArrayList<>(jobs);
-        byRelease.sort(Comparator.comparingLong(Pipeline::acceptedAt).thenComparing(Pipeline::uid));
-        Set<String> within = within(byRelease, settings);
-        byRelease.sort(Comparator.<Pipeline>comparingInt(j -> within.contains(j.uid()) ? 0 : 1)
+    private static List<Pipeline> inOrder(List<Pipeline> byRelease, Set<String> within) {
+        List<Pipeline> ordered = new ArrayList<>(byRelease);
+        ordered.sort(Comparator.<Pipeline>comparingInt(j -> within.contains(j.uid()) ? 0 : 1)
                 .thenComparing(j -> j.spec().priority(), Comparator.reverseOrder()));
-        return byRelease;
+        return ordered;
     }
 
     /** Jobs that fit their team's guarantee along with the team's earlier unfinished jobs. */
@@ -153,7 +155,7 @@
             use[1] += placed.size() * spec.accelerators();
         }
         if (placed.size() < allowed) {
-            wants.add(new Want(job, allowed - placed.size()));
+            wants.add(new Want(job, allowed - placed.size(), within.contains(job.uid())));
         }
     }
 
--- a/src/main/java/org/spoolline/placement/Preemption.java
+++ b/src/main/java/org/spoolline/placement/Preemption.java
@@ -16,8 +16,10 @@
 import org.spoolline.workers.Machine;
 
 /**
- * Decides which tasks leave for an urgent gang that found no room: only work of lower priority, and there the tasks
- * whose stop loses least. Machines chosen once stay reserved until the gang has started or the reservation lapses.
+ * Decides which tasks leave for a job that found no room: an urgent gang takes the machines where stopping work of
+ * lower priority loses least; an array within its team's guarantee takes room from tasks that save, of lower priority
+ * or of a team beyond its own guarantee. Machines chosen once stay reserved until the job has started there or the
+ * reservation lapses.
  */
 final class Preemption {
     /** A task that may have to leave its machine. */
@@ -32,24 +34,32 @@
     private final List<Node> nodes;
     private final Map<String, List<Victim>> victims = new HashMap<>();
     private final Set<String> taken = new HashSet<>();
+    private final Set<String> within;
+    /** Cores that a team uses beyond its guarantee, by team. */
+    private final Map<String, Double> borrowed = new HashMap<>();
 
-    Preemption(Picture picture, List<Node> nodes) {
+    Preemption(Picture picture, List<Node> nodes, Set<String> within, Map<String, double[]> teamUse) {
         this.picture = picture;
         this.nodes = nodes;
+        this.within = within;
+        picture.settings().teams().forEach((name, team) ->
+                borrowed.put(name, teamUse.getOrDefault(name, new double[2])[0] - team.cores()));
     }
 
     List<Placer.Clearing> clear(List<Placer.Want> wants) {
         List<Placer.Clearing> clearings = new ArrayList<>();
         for (Placer.Want want : wants) {
             Pipeline job = want.job();
-            if (!job.spec().gang() || job.spec().priority().compareTo(Submission.Priority.URGENT) < 0
+            boolean urgentGang = job.spec().gang()
+                    && job.spec().priority().compareTo(Submission.Priority.URGENT) >= 0;
+            if (!urgentGang && (job.spec().gang() || !want.withinGuarantee())
                     || picture.reserved().containsValue(job.uid())) {
                 continue;
             }
             if (victims.isEmpty()) {
                 collect();
             }
-            List<Choice> chosen = choose(job);
+            List<Choice> chosen = urgentGang ? choose(job) : room(job, want.tasks());
             if (chosen.isEmpty()) {
                 continue;
             }
@@ -126,6 +136,50 @@
         return best;
     }
 
+    /** Machines with savers to leave for so many tasks of an array, the ones that lose least first. */
+    private List<Choice> room(Pipeline job, int tasks) {
+        Submission spec = job.spec();
+        List<Choice> choices = new ArrayList<>();
+        int cleared = 0;
+        for (Node node : nodes) {
+            if (cleared >= tasks || !node.openTo(job) || node.reservedFor != null || spec.oneZone() || spec.spread()
+                    || taken.contains(node.machine.name())) {
+                continue;
+            }
+            List<Victim> leaving = new ArrayList<>();
+            double cores = node.cores;
+            double memory = node.memoryGb;
+            for (Victim v : victims.getOrDefault(node.machine.name(), List.of())) {
+                if (cleared + Math.floor(cores / spec.cores()) >= tasks) {
+                    break;
+                }
+                if (v.job().spec().saves() && mayTakeFrom(job, v.job())) {
+                    leaving.add(v);
+                    cores += v.job().spec().cores();
+                    memory += v.job().spec().memoryGb();
+                    borrowed.merge(v.job().spec().team(), -v.job().spec().cores(), Double::sum);
+                }
+            }
+            int fits = (int) Math.min(Math.floor(cores / spec.cores() + Constants.EPSILON),
+                    spec.memoryGb() > 0 ? Math.floor(memory / spec.memoryGb() + Constants.EPSILON) : tasks);
+            if (!leaving.isEmpty() && fits > 0) {
+                choices.add(new Choice(node, leaving, 0));
+                cleared += fits;
+            }
+        }
+        return choices;
+    }
+
+    private boolean mayTakeFrom(Pipeline job, Pipeline victim) {
+        if (victim.spec().gang() || victim.uid().equals(job.uid())) {
+            return false;
+        }
+        boolean lower = victim.spec().priority().compareTo(job.spec().priority()) < 0;
+        boolean beyond = !victim.spec().team().equals(job.spec().team()) && !within.contains(victim.uid())
+                && borrowed.getOrDefault(victim.spec().team(), 0.0) >= victim.spec().cores();
+        return lower && !within.contains(victim.uid()) || beyond;
+    }
+
     /** What would have to leave the machine for one task of the job, or null when that is not allowed. */
     private Choice choice(Pipeline job, Node node) {
         Submission spec = job.spec();
--- a/src/main/java/org/spoolline/placement/Rounds.java
+++ b/src/main/java/org/spoolline/placement/Rounds.java
@@ -272,11 +272,17 @@
     private void lapseReservations() {
         reservations.values().removeIf(r -> {
             JobTable.Entry entry = jobs.get(r.clearing().uid());
-            return entry == null || entry.cancelled() || !entry.confirmed().attempts().isEmpty()
+            return entry == null || entry.cancelled() || started(entry.confirmed(), r.clearing())
                     || loop.now() - r.since() > Constants.RESERVED_MS;
         });
     }
 
+    /** A gang has started once it is placed; an array, once nobody has to leave for it any more. */
+    private boolean started(Pipeline job, Placer.Clearing clearing) {
+        return job.spec().gang() ? !job.attempts().isEmpty() : clearing.leaving().keySet().stream()
+                .noneMatch(start -> clearing.machines().stream().anyMatch(m -> jobs.on(m).containsKey(start)));
+    }
+
     /** Steps one pipeline by what is proven about its attempts; null when nothing changes. */
     private Pipeline weigh(JobTable.Entry entry) {
         Pipeline now = entry.confirmed();
