Nudge machines by a raised token, so that orders and above all stops reach them at once

Kept as the way by which stops go straight to a worker: it carries no order, so it may be carried out late, and its token stays below any later leader's.

--- a/src/main/java/org/spoolline/Controller.java
+++ b/src/main/java/org/spoolline/Controller.java
@@ -1,5 +1,6 @@
 package org.spoolline;
 
+import java.util.Set;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import org.spoolline.fleet.Catalog;
@@ -40,7 +41,7 @@
         JobTable jobs = new JobTable();
         rounds = new Rounds(loop, settings, state, leadership, catalog, machines, jobs);
         fleet = new Fleet(loop, http, settings, leadership, catalog, machines, rounds::poke);
-        checkIns = new CheckIns(loop, leadership, machines, jobs, rounds, rounds::poke);
+        checkIns = new CheckIns(loop, http, settings.workers().leaseMs(), leadership, machines, jobs, rounds, rounds::poke);
         rounds.connect(fleet, new Rounds.Outcomes() {
             @Override
             public void loaded() {
@@ -48,8 +49,9 @@
             }
 
             @Override
-            public void written(boolean settled) {
+            public void written(boolean settled, Set<String> withNews) {
                 checkIns.flush(settled);
+                checkIns.nudge(withNews);
             }
         });
         peers = new Peers(loop, http, settings, state, leadership);
--- a/src/main/java/org/spoolline/leadership/Leadership.java
+++ b/src/main/java/org/spoolline/leadership/Leadership.java
@@ -73,6 +73,14 @@
         return token;
     }
 
+    /**
+     * The lowest token that workers are shown under this leadership. Above it is room for nudges: tokens raised to
+     * make a single worker report at once, all of them below any later leader's.
+     */
+    public long workerToken() {
+        return token << Constants.NUDGE_BITS;
+    }
+
     public long keyVersion() {
         return keyVersion;
     }
@@ -87,6 +95,11 @@
         return Math.max(knownToken, token);
     }
 
+    /** A worker has seen this token. */
+    public void workerSawToken(long seen) {
+        sawToken(seen >> Constants.NUDGE_BITS);
+    }
+
     /** A peer or a worker has seen a token over ours: another leader was elected since. */
     public void sawToken(long seen) {
         if (leading && seen > token) {
--- a/src/main/java/org/spoolline/placement/Rounds.java
+++ b/src/main/java/org/spoolline/placement/Rounds.java
@@ -59,6 +59,7 @@
     private final Map<String, Map<Machine.Start, Double>> stops = new HashMap<>();
     /** Gang tasks whose machine has the image, while others of the gang have to fetch it. */
     private final Map<String, Set<Machine.Start>> afterMates = new HashMap<>();
+    private final Set<String> withNews = new HashSet<>();
     private final Map<String, Reservation> reservations = new LinkedHashMap<>();
     private List<Placer.Want> wants = List.of();
 
@@ -71,8 +72,8 @@
         /** The live pipelines are known under the present token. */
         void loaded();
 
-        /** Values were written; with {@code settled}, nothing more is under way. */
-        void written(boolean settled);
+        /** Values were written; with {@code settled}, nothing more is under way. There are orders for these machines. */
+        void written(boolean settled, Set<String> withNews);
     }
 
     /** A value to be rewritten in this round. */
@@ -99,13 +100,14 @@
     public void elected(long token) {
         term = token;
         // A former leader may have kept leases alive until its keep-alive time had run out.
-        evidence = new Evidence(token, loop.now() + settings.keepAliveMs(), settings.silenceMs());
+        evidence = new Evidence(leadership.workerToken(), loop.now() + settings.keepAliveMs(), settings.silenceMs());
         loaded = false;
         txnsInFlight = 0;
         jobs.clear();
         machines.clear();
         stops.clear();
         afterMates.clear();
+        withNews.clear();
         reservations.clear();
         wants = List.of();
         load(token);
@@ -256,6 +258,7 @@
         wants = plan.wants();
         for (Placer.Clearing clearing : plan.clearings()) {
             reservations.put(clearing.uid(), new Reservation(clearing, loop.now()));
+            withNews.addAll(clearing.machines());
             clearing.leaving().forEach((start, grace) ->
                     stops.computeIfAbsent(start.uid(), u -> new HashMap<>()).put(start, grace));
             LOG.info("clearing {} for {}: {} tasks leave", clearing.machines(), clearing.uid(),
@@ -265,7 +268,7 @@
         lastBatch = changes.size();
         write(new ArrayList<>(changes.values()));
         fleet.pass(wants, machinesWithWork()::contains);
-        outcomes.written(txnsInFlight == 0);
+        tell(txnsInFlight == 0);
     }
 
     /** A reservation ends when its job has started or is over, or when it has led to nothing for too long. */
@@ -301,6 +304,9 @@
             Evidence.Finding finding = evidence.judge(now.uid(), attempt, machine, loop.now());
             boolean unwanted = now.cancelled() || noticeStop(spec, machine, attempt, now)
                     || graceOf(Machine.Start.of(now.uid(), attempt)) != null;
+            if (now.cancelled() && finding.verdict() == Evidence.Verdict.ALIVE) {
+                withNews.add(attempt.machine());
+            }
             switch (finding.verdict()) {
                 case EXITED -> {
                     next = next == null ? now.copy() : next;
@@ -372,6 +378,7 @@
     }
 
     private void stop(String uid, Attempt attempt, double grace) {
+        withNews.add(attempt.machine());
         stops.computeIfAbsent(uid, u -> new HashMap<>()).put(Machine.Start.of(uid, attempt), grace);
     }
 
@@ -565,7 +572,7 @@
             txnsInFlight--;
             if (fate == StateClient.Fate.APPLIED) {
                 batch.forEach(change -> applied(change, outcome.revision()));
-                outcomes.written(false);
+                tell(false);
             } else if (fate == StateClient.Fate.CONFLICT) {
                 conflict(batch, outcome.failed(), mine);
             } else {
@@ -576,8 +583,15 @@
         });
     }
 
+    private void tell(boolean settled) {
+        outcomes.written(settled, Set.copyOf(withNews));
+        withNews.clear();
+    }
+
     private void applied(Change change, long revision) {
         Pipeline next = change.next();
+        Set<Attempt> known = new HashSet<>(change.entry().confirmed().attempts());
+        next.attempts().stream().filter(a -> !known.contains(a)).forEach(a -> withNews.add(a.machine()));
         if (over(next)) {
             LOG.info("{} is over: {}", next.uid(), next.finished() ? "done" : "cancelled");
             jobs.drop(next.uid(), revision);
--- a/src/main/java/org/spoolline/settings/Constants.java
+++ b/src/main/java/org/spoolline/settings/Constants.java
@@ -64,6 +64,10 @@
     /** Ms between rounds without any event: time alone (silence, idleness) is evidence too. */
     public static final long ROUND_IDLE_MS = 1_000;
 
+    /** Bits of a worker's token that count nudges: a million nudges of one worker under one leader. */
+    public static final int NUDGE_BITS = 20;
+    /** Ms a nudge may take; without an answer the regular report does its work. */
+    public static final long NUDGE_TIMEOUT_MS = 1_000;
     /** Ms for which the answer to a report that brings ends is held, so that it can carry the next launches. */
     public static final long HOLD_MS = 600;
 
--- a/src/main/java/org/spoolline/workers/CheckIns.java
+++ b/src/main/java/org/spoolline/workers/CheckIns.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Collection;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -35,6 +36,8 @@
     }
 
     private final Loop loop;
+    private final Http.Caller http;
+    private final long leaseMs;
     private final Leadership leadership;
     private final MachineTable machines;
     private final JobTable jobs;
@@ -43,9 +46,11 @@
     private final Map<String, Held> waiting = new LinkedHashMap<>();
     private boolean ready;
 
-    public CheckIns(Loop loop, Leadership leadership, MachineTable machines, JobTable jobs, Wishes wishes,
+    public CheckIns(Loop loop, Http.Caller http, long leaseMs, Leadership leadership, MachineTable machines, JobTable jobs, Wishes wishes,
                     Runnable news) {
         this.loop = loop;
+        this.http = http;
+        this.leaseMs = leaseMs;
         this.leadership = leadership;
         this.machines = machines;
         this.jobs = jobs;
@@ -64,7 +69,7 @@
             answer.accept(Http.Response.of(400, error("not a check-in")));
             return;
         }
-        leadership.sawToken(report.token());
+        leadership.workerSawToken(report.token());
         if (!leadership.mayKeepAlive()) {
             redirect(answer);
             return;
@@ -141,7 +146,7 @@
                 answer.accept(Http.Response.of(503, error("not leading any more")));
                 return;
             }
-            ObjectNode body = Json.object().put("baton", leadership.token());
+            ObjectNode body = Json.object().put("baton", leadership.workerToken() + machine.nudges());
             ArrayNode orders = body.putArray("orders");
             if (withOrders && newer && ready && leadership.valid() && machine.session() == session
                     && machine.tick() == tick) {
@@ -152,6 +157,28 @@
         }
     }
 
+    /**
+     * Makes machines report at once, so that orders reach them without waiting for the regular report: a command
+     * without orders that shows a higher token. It starts nothing, so it may arrive as late as it likes. A worker
+     * heeds a higher token once per half of its lease.
+     */
+    public void nudge(Collection<String> names) {
+        for (String name : names) {
+            Machine machine = machines.get(name);
+            if (machine == null || machine.gone() || waiting.containsKey(name) || !leadership.valid()
+                    || machine.address().isEmpty()
+                    || loop.now() - machine.nudgedAt() <= leaseMs / 2 + Constants.MARGIN_MS) {
+                continue;
+            }
+            machine.nudge(loop.now());
+            ObjectNode body = Json.object().put("baton", leadership.workerToken() + machine.nudges())
+                    .put("shift", machine.session());
+            body.putArray("orders");
+            http.call(machine.address(), "POST", "/commands", Json.bytes(body), Constants.NUDGE_TIMEOUT_MS,
+                    reply -> { });
+        }
+    }
+
     private boolean launchable(Machine machine) {
         for (Map.Entry<Machine.Start, Attempt> e : jobs.on(machine.name()).entrySet()) {
             if (e.getValue().session() == machine.session() && !machine.tasks().containsKey(e.getKey())) {
--- a/src/main/java/org/spoolline/workers/Machine.java
+++ b/src/main/java/org/spoolline/workers/Machine.java
@@ -29,6 +29,8 @@
     private Double noticeS;
     private long heardAt = -1;
     private long answeredAt = -1;
+    private long nudges;
+    private long nudgedAt = Long.MIN_VALUE / 2;
     private boolean gone;
     private boolean draining;
     private final Map<Start, Long> launchTicks = new HashMap<>();
@@ -142,7 +144,22 @@
 
     /** True when the machine's word shows that it has seen the token, so that older leaders' launches are past. */
     public boolean hasSeen(long token) {
-        return reportedToken == token;
+        return reportedToken >= token;
+    }
+
+    /** How often the machine was nudged under the present leadership. */
+    public long nudges() {
+        return nudges;
+    }
+
+    public long nudgedAt() {
+        return nudgedAt;
+    }
+
+    /** Notes that a nudge is sent: from now on the machine is shown the raised token only. */
+    public void nudge(long now) {
+        nudges++;
+        nudgedAt = now;
     }
 
     /** Takes a report over if it is newer than what is known; late ones change nothing. */
--- a/src/test/java/org/spoolline/world/FakeWorker.java
+++ b/src/test/java/org/spoolline/world/FakeWorker.java
@@ -7,6 +7,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 import org.spoolline.net.Http;
 import org.spoolline.net.Json;
 
@@ -223,6 +224,28 @@
         }
     }
 
+    /** Direct commands: carried out if token and session still match, however late they come. */
+    void commands(Http.Request request, Consumer<Http.Response> reply) {
+        if (dead || hung) {
+            return;
+        }
+        JsonNode body = Json.read(request.body());
+        long token = body.path("baton").asLong();
+        tick++;
+        if (token < baton || body.path("shift").asLong() != shift) {
+            reply.accept(Http.Response.of(409, new byte[0]));
+            return;
+        }
+        if (token > baton) {
+            baton = token;
+            changed();
+        }
+        for (JsonNode order : body.path("orders")) {
+            carryOut(order);
+        }
+        reply.accept(Http.Response.of(200, new byte[0]));
+    }
+
     private void carryOut(JsonNode order) {
         String slip = order.path("slip").asText();
         long attempt = order.path("try").asLong();
--- a/src/test/java/org/spoolline/world/StoriesTest.java
+++ b/src/test/java/org/spoolline/world/StoriesTest.java
@@ -312,7 +312,7 @@
     }
 
     private static Http.Response startEverywhere(JsonNode report, Users.Job job) {
-        ObjectNode body = Json.object().put("baton", 1_000);
+        ObjectNode body = Json.object().put("baton", 1L << 40);
         ArrayNode orders = body.putArray("orders");
         orders.addObject().put("verb", "launch").put("slip", job.uid() + "/0").put("try", 77);
         return Http.Response.of(200, Json.bytes(body));
--- a/src/test/java/org/spoolline/world/World.java
+++ b/src/test/java/org/spoolline/world/World.java
@@ -277,6 +277,8 @@
             state.handle(request, reply);
         } else if (host.equals("cloud")) {
             cloud.handle(request, reply);
+        } else if (workers.containsKey(host)) {
+            workers.get(host).commands(request, reply);
         } else if (nodes.containsKey(host)) {
             Node node = nodes.get(host);
             if (rogue != null) {
