--- a/src/main/java/org/spoolline/Controller.java
+++ b/src/main/java/org/spoolline/Controller.java
@@ -54,7 +54,7 @@
                 checkIns.nudge(withNews);
             }
         });
-        peers = new Peers(loop, http, settings, state, leadership);
+        peers = new Peers(loop, http, settings, state, leadership, intake::handle);
     }
 
     public void start() {
@@ -70,7 +70,9 @@
         if (path.equals("/checkin")) {
             checkIns.handle(request, answer);
         } else if (Intake.serves(path)) {
-            intake.handle(request, answer);
+            if (state.reachable() || !peers.forward(request, answer)) {
+                intake.handle(request, answer);
+            }
         } else if (path.equals("/healthz")) {
             answer.accept(Http.Response.of(healthy() ? 200 : 503, new byte[0]));
         } else {
--- a/src/main/java/org/spoolline/cli/Main.java
+++ b/src/main/java/org/spoolline/cli/Main.java
@@ -13,6 +13,7 @@
 import org.spoolline.net.UndertowServer;
 import org.spoolline.net.XnioLoop;
 import org.spoolline.settings.Constants;
+import org.spoolline.settings.OperatorSettings;
 import org.spoolline.settings.Settings;
 import org.spoolline.settings.SettingsException;
 import org.spoolline.settings.SettingsFile;
@@ -32,6 +33,9 @@
     @Option(names = "--config", paramLabel = "FILE", description = "Settings file (TOML).")
     private Path config;
 
+    @Option(names = "--operator", paramLabel = "FILE", description = "Operators' own settings (XML), optional.")
+    private Path operator;
+
     @Option(names = "--check", description = "Check the settings and exit without serving.")
     private boolean check;
 
@@ -42,7 +46,8 @@
     public static void main(String[] args) {
         String level = System.getenv().getOrDefault("LOG_LEVEL", "info");
         switch (level) {
-            case "error", "info", "debug" -> { }
+            case "error", "info", "debug" -> {
+            }
             default -> {
                 System.err.println("spoolline: LOG_LEVEL must be error, info or debug, not " + level);
                 System.exit(2);
@@ -72,6 +77,9 @@
         Settings settings;
         try {
             settings = SettingsFile.read(config);
+            if (operator != null) {
+                settings = settings.with(OperatorSettings.read(operator));
+            }
         } catch (SettingsException e) {
             System.err.println("spoolline: " + e.getMessage());
             return 2;
--- a/src/main/java/org/spoolline/fleet/Fleet.java
+++ b/src/main/java/org/spoolline/fleet/Fleet.java
@@ -220,7 +220,8 @@
                 m.busyAt(now);
                 continue;
             }
-            boolean idle = m.heard() && now - m.idleSince() > (m.spot() ? Constants.IDLE_SPOT_MS : Constants.IDLE_MS)
+            boolean idle = m.heard() && now - m.idleSince() > (m.spot() ? settings.operator().idleSpotMs()
+                    : settings.operator().idleMs())
                     && now - m.knownSince() > Constants.MIN_CHARGE_MS;
             if (neverCame || lost || idle || m.draining() && m.heard()) {
                 LOG.info("return {}: {}", m.name(), neverCame ? "never came up" : lost ? "lost" : idle ? "idle"
--- a/src/main/java/org/spoolline/peers/Peers.java
+++ b/src/main/java/org/spoolline/peers/Peers.java
@@ -10,9 +10,13 @@
 import org.spoolline.settings.Settings;
 import org.spoolline.state.StateClient;
 
-/** Asks the other controllers how they are: tells an outage from one's own cut, and hears of newer leaders. */
+/**
+ * Asks the other controllers how they are: tells an outage from one's own cut, hears of newer leaders, and hands users'
+ * requests to a peer while this node alone can't reach the state service. The peer that commits is the one that answers.
+ */
 public final class Peers {
-    private static final String PATH = "/status";
+    private static final String STATUS = "/status";
+    private static final String FORWARD = "/forward";
 
     private record Seen(PeerStatus status, long at) {
     }
@@ -22,14 +26,17 @@
     private final Settings settings;
     private final StateClient state;
     private final Leadership leadership;
+    private final Http.Handler users;
     private final Map<String, Seen> seen = new HashMap<>();
 
-    public Peers(Loop loop, Http.Caller http, Settings settings, StateClient state, Leadership leadership) {
+    public Peers(Loop loop, Http.Caller http, Settings settings, StateClient state, Leadership leadership,
+                 Http.Handler users) {
         this.loop = loop;
         this.http = http;
         this.settings = settings;
         this.state = state;
         this.leadership = leadership;
+        this.users = users;
     }
 
     public void start() {
@@ -39,7 +46,7 @@
     }
 
     private void ask(Settings.Peer peer) {
-        http.call(peer.address(), "POST", PATH, mine().encode(), Constants.PEER_TIMEOUT_MS, reply -> {
+        http.call(peer.address(), "POST", STATUS, mine().encode(), Constants.PEER_TIMEOUT_MS, reply -> {
             if (reply.ok()) {
                 heard(PeerStatus.decode(reply.body()));
             }
@@ -49,7 +56,16 @@
 
     /** Serves the internal address. */
     public void handle(Http.Request request, Consumer<Http.Response> answer) {
-        if (!request.path().equals(PATH)) {
+        if (request.path().equals(FORWARD)) {
+            Http.Request inner = Forwarded.request(request.body());
+            if (inner == null) {
+                answer.accept(Http.Response.of(400, new byte[0]));
+            } else {
+                users.handle(inner, response -> answer.accept(Http.Response.of(200, Forwarded.encode(response))));
+            }
+            return;
+        }
+        if (!request.path().equals(STATUS)) {
             answer.accept(Http.Response.of(404, new byte[0]));
             return;
         }
@@ -57,10 +73,31 @@
         answer.accept(Http.Response.of(200, mine().encode()));
     }
 
+    /** Hands a user's request to a peer that reaches the state service; false when none is known to. */
+    public boolean forward(Http.Request request, Consumer<Http.Response> answer) {
+        for (Settings.Peer peer : settings.peers()) {
+            Seen last = seen.get(peer.node());
+            if (last != null && reaches(last)) {
+                http.call(peer.address(), "POST", FORWARD, Forwarded.encode(request), Constants.PEER_TIMEOUT_MS,
+                        reply -> {
+                            Http.Response response = reply.ok() ? Forwarded.response(reply.body()) : null;
+                            answer.accept(response != null ? response
+                                    : new Http.Response(503, new byte[0], Constants.RETRY_AFTER_S));
+                        });
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private boolean reaches(Seen s) {
+        return s.status().reachesState()
+                && loop.now() - s.at() < 2 * Constants.PEER_PING_MS + Constants.PEER_TIMEOUT_MS;
+    }
+
     /** True when a peer has lately said that it reaches the state service. */
     public boolean anyReachesState() {
-        return seen.values().stream().anyMatch(s -> s.status().reachesState()
-                && loop.now() - s.at() < 2 * Constants.PEER_PING_MS + Constants.PEER_TIMEOUT_MS);
+        return seen.values().stream().anyMatch(this::reaches);
     }
 
     private PeerStatus mine() {
--- a/src/main/java/org/spoolline/placement/Rounds.java
+++ b/src/main/java/org/spoolline/placement/Rounds.java
@@ -195,8 +195,8 @@
         }
         scheduled = true;
         double load = Math.min(1.0, (double) lastBatch / Constants.ROUND_FULL_BATCH);
-        long width = Constants.ROUND_MIN_MS
-                + (long) (load * (Constants.ROUND_MAX_MS - Constants.ROUND_MIN_MS));
+        long narrowest = settings.operator().roundMinMs();
+        long width = narrowest + (long) (load * (settings.operator().roundMaxMs() - narrowest));
         loop.after(width, () -> {
             scheduled = false;
             round();
--- a/src/main/java/org/spoolline/settings/Constants.java
+++ b/src/main/java/org/spoolline/settings/Constants.java
@@ -113,6 +113,8 @@
     public static final long QUIET_MS = 8_000;
     /** Ms without a check-in after which a machine that should run is returned. */
     public static final long LOST_MS = 60_000;
+    /** Ms between two log lines on the state service's latency. */
+    public static final long LATENCY_LOG_MS = 60_000;
     /** Ms after which an idle node asks the state service for a sign of life. */
     public static final long STATE_PROBE_MS = 1_500;
     /** Ms between two readings of the machine types: spot prices move slowly. */
--- a/src/main/java/org/spoolline/settings/Settings.java
+++ b/src/main/java/org/spoolline/settings/Settings.java
@@ -6,7 +6,8 @@
 /** The checked settings of one node, from the platform's file. */
 public record Settings(String node, String zone, String serveOn, String internalAddress, List<Peer> peers,
                        String cloudAddress, String stateAddress, int nodes, Map<String, Team> teams,
-                       List<Objective> objectives, Workers workers, State state, Cloud cloud, Quota quota) {
+                       List<Objective> objectives, Workers workers, State state, Cloud cloud, Quota quota,
+                       OperatorSettings operator) {
 
     /** Another controller. */
     public record Peer(String node, String address) {
@@ -36,6 +37,12 @@
     public record Quota(double cpuShare, double memoryMb, int sockets) {
     }
 
+    /** The same node with the operators' own settings. */
+    public Settings with(OperatorSettings own) {
+        return new Settings(node, zone, serveOn, internalAddress, peers, cloudAddress, stateAddress, nodes, teams,
+                objectives, workers, state, cloud, quota, own);
+    }
+
     /** Ms of a leadership lease: its usual time, or less where the cancellation bound leaves less. */
     public long leadershipMs() {
         return Math.min(Constants.LEADERSHIP_MS, (workers.cancelMs() - silenceMs()) / 2);
--- a/src/main/java/org/spoolline/settings/SettingsFile.java
+++ b/src/main/java/org/spoolline/settings/SettingsFile.java
@@ -78,7 +78,7 @@
                         (int) positive(s, "cluster.state.", "txn_ops")),
                 new Settings.Cloud(positive(c, "cluster.cloud.", "rps"), millis(c, "cluster.cloud.", "list_lag_s")),
                 new Settings.Quota(number(q, "cluster.quota.", "cpu_share"), number(q, "cluster.quota.", "ram_mb"),
-                        (int) number(q, "cluster.quota.", "sockets")));
+                        (int) number(q, "cluster.quota.", "sockets")), OperatorSettings.DEFAULTS);
         if (settings.leadershipMs() < Constants.LEADERSHIP_MIN_MS) {
             throw new SettingsException("cluster.workers.cancel_s is too short for lease_s: "
                     + "no time is left between them for leadership");
--- a/src/main/java/org/spoolline/state/StateClient.java
+++ b/src/main/java/org/spoolline/state/StateClient.java
@@ -90,6 +90,7 @@
     private final long renewTimeoutMs;
     private final RateBudget requests;
     private final RateBudget changes;
+    private final Latencies latencies;
     private long lastReached;
     private boolean everReached;
 
@@ -102,6 +103,7 @@
         this.nodes = Math.max(1, settings.nodes());
         this.requests = new RateBudget(1, loop.now());
         this.changes = new RateBudget(1, loop.now());
+        this.latencies = new Latencies(loop.now());
         this.lastReached = loop.now();
         leading(false);
     }
@@ -249,6 +251,9 @@
                 lastReached = Math.max(lastReached, path.startsWith("/follow") ? loop.now() : sent);
                 everReached = true;
             }
+            if (!path.startsWith("/follow")) {
+                latencies.record(reply.status(), loop.now() - sent, loop.now());
+            }
             done.accept(reply);
         });
     }
--- a/src/main/java/org/spoolline/workers/Machine.java
+++ b/src/main/java/org/spoolline/workers/Machine.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.agrona.collections.Object2LongHashMap;
 import org.spoolline.pipeline.Attempt;
 
 /** What the leader knows of one machine. Changed on the loop only. */
@@ -17,6 +18,8 @@
         }
     }
 
+    private static final long NEVER = -1;
+
     private final String name;
     private final String type;
     private final String zone;
@@ -33,7 +36,7 @@
     private long nudgedAt = Long.MIN_VALUE / 2;
     private boolean gone;
     private boolean draining;
-    private final Map<Start, Long> launchTicks = new HashMap<>();
+    private final Object2LongHashMap<Start> launchTicks = new Object2LongHashMap<>(NEVER);
     private final Map<Start, Long> runningSince = new HashMap<>();
     private final Set<String> errorJobs = new HashSet<>();
     private final LinkedHashMap<String, Double> images = new LinkedHashMap<>();
@@ -198,12 +201,7 @@
 
     /** True when a launch may be on its way that the newest report can't show yet. */
     public boolean launchPending(Start start) {
-        Long at = launchTicks.get(start);
-        return at != null && at >= tick;
-    }
-
-    public boolean launchSent(Start start) {
-        return launchTicks.containsKey(start);
+        return launchTicks.getValue(start) >= tick;
     }
 
     /** Ms for which the task has been seen running here. */
--- a/src/test/java/org/spoolline/settings/SettingsFileTest.java
+++ b/src/test/java/org/spoolline/settings/SettingsFileTest.java
@@ -76,4 +76,17 @@
         }
         assertTrue(refusal(FINE.replace("lease_s = 18.0", "lease_s = 47.0")).contains("cancel_s"));
     }
+
+    @Test
+    void operatorsOwnSettingsAreChecked() throws Exception {
+        OperatorSettings own = OperatorSettings.parse("<operator><idle-ms>9000</idle-ms></operator>");
+        assertEquals(9_000, own.idleMs());
+        assertEquals(OperatorSettings.DEFAULTS.roundMaxMs(), own.roundMaxMs());
+        for (String[] bad : new String[][] {{"<operator><idle-ms>soon</idle-ms></operator>", "idle-ms"},
+            {"<operator><lease>1</lease></operator>", "lease"}, {"<operator><idle-ms>", "XML"},
+            {"<operator><round-min-ms>900</round-min-ms></operator>", "round-min-ms"}}) {
+            assertTrue(assertThrows(SettingsException.class, () -> OperatorSettings.parse(bad[0])).getMessage()
+                    .contains(bad[1]), bad[1]);
+        }
+    }
 }
--- a/src/test/java/org/spoolline/world/StoriesTest.java
+++ b/src/test/java/org/spoolline/world/StoriesTest.java
@@ -262,6 +262,20 @@
         assertEquals(List.of(), world.rules.broken());
     }
 
+    /** A node that alone can't reach the state service hands requests to one that can. */
+    @Test
+    void aNodeCutOffFromTheStateServicePassesRequestsOn() {
+        World world = new World(2);
+        world.run(8);
+        world.cut("node-1", "state", World.Cut.LOSE);
+        world.run(10);
+        List<Integer> statuses = new ArrayList<>();
+        world.call("users", "node-1:1", new Http.Request("GET", "/submissions/run-000042", "", new byte[0]), 2_000,
+                reply -> statuses.add(reply.status()));
+        world.run(3);
+        assertEquals(List.of(404), statuses);
+    }
+
     @Test
     void aJobNobodySubmittedIsUnknown() {
         World world = new World(1);
