A new leader keeps machines that it has only not heard yet

The age now counts from the election at the earliest. Story test added, which fails without the change.

--- a/src/main/java/org/spoolline/fleet/Fleet.java
+++ b/src/main/java/org/spoolline/fleet/Fleet.java
@@ -38,6 +38,7 @@
     private final RateBudget budget;
 
     private long term;
+    private long electedAt;
     private long sequence;
     private boolean listedOnce;
     private long listAskedAt;
@@ -61,6 +62,7 @@
     /** Starts anew under a token: whatever the former leader had under way shows in the list. */
     public void elected(long token) {
         term = token;
+        electedAt = loop.now();
         sequence = 0;
         listedOnce = false;
         listAskedAt = Long.MIN_VALUE / 2;
@@ -214,7 +216,8 @@
             MachineType type = catalog.types().get(m.type());
             long patience = type == null ? Constants.MIN_CHARGE_MS
                     : (long) (type.bootS() * 1000 * Constants.BOOT_PATIENCE);
-            boolean neverCame = !m.heard() && now - m.knownSince() > patience;
+            // A new leader has heard nobody yet: machines that are long up must not look as if they never came.
+            boolean neverCame = !m.heard() && now - Math.max(m.knownSince(), electedAt) > patience;
             boolean lost = m.heard() && now - m.heardAt() > Constants.LOST_MS;
             if (holdsWork.test(m.name())) {
                 m.busyAt(now);
--- a/src/test/java/org/spoolline/world/StoriesTest.java
+++ b/src/test/java/org/spoolline/world/StoriesTest.java
@@ -286,6 +286,20 @@
         assertEquals(List.of(404), statuses);
     }
 
+    /** A new leader has heard nobody yet: it once took machines that were long up for ones that never came up. */
+    @Test
+    void aNewLeaderKeepsMachinesThatHaveLongBeenUp() {
+        World world = new World(4);
+        world.run(3);
+        world.users.submit(world.users.job("blue", "batch", 4, 8, 5));
+        world.run(49);
+        long up = world.workers().values().stream().filter(w -> !w.dead()).count();
+        assertTrue(up > 0);
+        world.crashFor(leader(world), 5);
+        world.run(8);
+        assertEquals(up, world.workers().values().stream().filter(w -> !w.dead()).count());
+    }
+
     @Test
     void idleMachinesAreReturned() {
         World world = new World(3);
