--- a/src/main/java/org/spoolline/cli/Main.java
+++ b/src/main/java/org/spoolline/cli/Main.java
@@ -6,9 +6,12 @@
 import java.nio.file.Path;
 import java.util.Locale;
 import java.util.concurrent.Callable;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.spoolline.Controller;
+import org.spoolline.net.Http;
 import org.spoolline.net.UndertowCaller;
 import org.spoolline.net.UndertowServer;
 import org.spoolline.net.XnioLoop;
@@ -91,6 +94,30 @@
         return serve(settings);
     }
 
+    /** Listens; an address that a process of ours just ended may still hold is tried again for a moment. */
+    private static void listen(XnioWorker worker, DefaultByteBufferPool buffers, String address,
+                               Http.Handler handler) {
+        for (int tries = Constants.BIND_TRIES; ; tries--) {
+            try {
+                UndertowServer.start(worker, buffers, address, handler);
+                return;
+            } catch (RuntimeException e) {
+                if (tries <= 1 || !(rootOf(e) instanceof BindException)) {
+                    throw e;
+                }
+                LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(Constants.BIND_RETRY_MS));
+            }
+        }
+    }
+
+    private static Throwable rootOf(Throwable e) {
+        Throwable cause = e;
+        while (cause.getCause() != null) {
+            cause = cause.getCause();
+        }
+        return cause;
+    }
+
     /** One I/O thread, which is the loop; the single task thread idles. */
     static XnioWorker worker() throws IOException {
         return Xnio.getInstance().createWorker(OptionMap.builder()
@@ -113,17 +140,14 @@
             DefaultByteBufferPool buffers = buffers();
             Controller controller = new Controller(settings, new XnioLoop(thread),
                     new UndertowCaller(thread, buffers), new java.util.SplittableRandom());
-            UndertowServer.start(worker, buffers, settings.serveOn(), controller::serve);
-            UndertowServer.start(worker, buffers, settings.internalAddress(), controller::servePeer);
+            listen(worker, buffers, settings.serveOn(), controller::serve);
+            listen(worker, buffers, settings.internalAddress(), controller::servePeer);
             thread.execute(controller::start);
             log.info("{} serves users and workers on {}, controllers on {}", settings.node(), settings.serveOn(),
                     settings.internalAddress());
             return 0;
         } catch (IOException | RuntimeException e) {
-            Throwable cause = e;
-            while (cause.getCause() != null) {
-                cause = cause.getCause();
-            }
+            Throwable cause = rootOf(e);
             System.err.println("spoolline: can't serve on " + settings.serveOn() + " and "
                     + settings.internalAddress() + ": " + (cause instanceof BindException ? "address in use or not "
                     + "ours" : cause));
--- a/src/main/java/org/spoolline/settings/Constants.java
+++ b/src/main/java/org/spoolline/settings/Constants.java
@@ -18,6 +18,11 @@
     /** Buffers kept in the pool: bounds idle memory at 1 MiB. */
     public static final int BUFFERS_KEPT = 256;
 
+    /** Tries to listen on an address that a process just ended may still hold. */
+    public static final int BIND_TRIES = 8;
+    /** Ms between these tries. */
+    public static final long BIND_RETRY_MS = 250;
+
     /** Ms of a leadership lease: short enough to replace a dead leader soon, long enough for a starved core. */
     public static final long LEADERSHIP_MS = 5_000;
     /** Ms of the shortest leadership lease that can be kept with renewals and margins. */
