A leader that no worker reaches gives way to a peer that they reach

From about 308 s no worker got through to the leader; the other nodes kept sending them back to it, and 100 tasks were killed by their leases. Ruled out: the elections at 55, 106 and 232 s, which took about 5 s and lost nothing. Controllers now tell one another whether workers come to them; a leader that has heard none for 7 s while a peer does ends its lease and does not stand for 20 s. Story test added.

--- a/src/main/java/org/spoolline/Controller.java
+++ b/src/main/java/org/spoolline/Controller.java
@@ -54,7 +54,8 @@
                 checkIns.nudge(withNews);
             }
         });
-        peers = new Peers(loop, http, settings, state, leadership, intake::handle);
+        peers = new Peers(loop, http, settings, state, leadership, intake::handle,
+                checkIns::hearsWorkers);
     }
 
     public void start() {
@@ -92,6 +93,9 @@
 
     private void probe() {
         state.probe();
+        if (leadership.valid() && checkIns.deaf() && peers.anyHearsWorkers()) {
+            leadership.resign("no worker comes here, but they do to a peer");
+        }
         loop.after(Constants.STATE_PROBE_MS, this::probe);
     }
 
--- a/src/main/java/org/spoolline/leadership/Leadership.java
+++ b/src/main/java/org/spoolline/leadership/Leadership.java
@@ -43,6 +43,7 @@
     private long lease;
     private long validUntil;
     private boolean standing;
+    private long mayStandAt = Long.MIN_VALUE;
 
     public Leadership(Loop loop, RandomGenerator random, StateClient state, Settings settings, Listener listener) {
         this.loop = loop;
@@ -107,6 +108,14 @@
         }
     }
 
+    /** Gives way at once to a node that serves better, and leaves the next elections to others for a while. */
+    public void resign(String why) {
+        long ended = lease;
+        mayStandAt = loop.now() + Constants.RESIGNED_MS;
+        depose(why);
+        state.endLease(ended);
+    }
+
     /** Gives way; the key goes with its lease. */
     public void depose(String why) {
         if (!leading) {
@@ -136,7 +145,11 @@
                 follow(read.item().value(), read.item().version());
             } else {
                 knownLeader = null;
-                loop.after(random.nextLong(Constants.STAND_SPREAD_MS), this::stand);
+                if (loop.now() < mayStandAt) {
+                    loop.after(Constants.RETRY_MS, this::observe);
+                } else {
+                    loop.after(random.nextLong(Constants.STAND_SPREAD_MS), this::stand);
+                }
             }
         });
     }
--- a/src/main/java/org/spoolline/peers/PeerStatus.java
+++ b/src/main/java/org/spoolline/peers/PeerStatus.java
@@ -6,13 +6,13 @@
 import com.fasterxml.jackson.dataformat.cbor.CBORFactory;
 import java.io.IOException;
 
-/** What one controller tells another, in CBOR: the highest token it has seen and whether it reaches the state. */
-public record PeerStatus(String node, long token, boolean reachesState) {
+/** What one controller tells another, in CBOR: the highest token it has seen, whom it reaches and who reaches it. */
+public record PeerStatus(String node, long token, boolean reachesState, boolean hearsWorkers) {
     private static final ObjectMapper CBOR = new ObjectMapper(new CBORFactory());
 
     public byte[] encode() {
         ObjectNode node = CBOR.createObjectNode().put("node", this.node).put("token", token)
-                .put("state", reachesState);
+                .put("state", reachesState).put("workers", hearsWorkers);
         try {
             return CBOR.writeValueAsBytes(node);
         } catch (IOException e) {
@@ -25,7 +25,8 @@
         try {
             JsonNode node = CBOR.readTree(bytes);
             return node == null || !node.isObject() ? null : new PeerStatus(node.path("node").asText(),
-                    node.path("token").asLong(), node.path("state").asBoolean());
+                    node.path("token").asLong(), node.path("state").asBoolean(),
+                    node.path("workers").asBoolean());
         } catch (IOException e) {
             return null;
         }
--- a/src/main/java/org/spoolline/peers/Peers.java
+++ b/src/main/java/org/spoolline/peers/Peers.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.spoolline.leadership.Leadership;
 import org.spoolline.net.Http;
@@ -27,16 +28,18 @@
     private final StateClient state;
     private final Leadership leadership;
     private final Http.Handler users;
+    private final BooleanSupplier hearsWorkers;
     private final Map<String, Seen> seen = new HashMap<>();
 
     public Peers(Loop loop, Http.Caller http, Settings settings, StateClient state, Leadership leadership,
-                 Http.Handler users) {
+                 Http.Handler users, BooleanSupplier hearsWorkers) {
         this.loop = loop;
         this.http = http;
         this.settings = settings;
         this.state = state;
         this.leadership = leadership;
         this.users = users;
+        this.hearsWorkers = hearsWorkers;
     }
 
     public void start() {
@@ -91,8 +94,16 @@
     }
 
     private boolean reaches(Seen s) {
-        return s.status().reachesState()
-                && loop.now() - s.at() < 2 * Constants.PEER_PING_MS + Constants.PEER_TIMEOUT_MS;
+        return s.status().reachesState() && fresh(s);
+    }
+
+    private boolean fresh(Seen s) {
+        return loop.now() - s.at() < 2 * Constants.PEER_PING_MS + Constants.PEER_TIMEOUT_MS;
+    }
+
+    /** True when a peer that reaches the state service has lately said that workers come to it. */
+    public boolean anyHearsWorkers() {
+        return seen.values().stream().anyMatch(s -> reaches(s) && s.status().hearsWorkers());
     }
 
     /** True when a peer has lately said that it reaches the state service. */
@@ -101,7 +112,7 @@
     }
 
     private PeerStatus mine() {
-        return new PeerStatus(settings.node(), leadership.knownToken(), state.reachable());
+        return new PeerStatus(settings.node(), leadership.knownToken(), state.reachable(), hearsWorkers.getAsBoolean());
     }
 
     private void heard(PeerStatus status) {
--- a/src/main/java/org/spoolline/settings/Constants.java
+++ b/src/main/java/org/spoolline/settings/Constants.java
@@ -120,6 +120,10 @@
     public static final long LOST_MS = 60_000;
     /** Ms between two log lines on the state service's latency. */
     public static final long LATENCY_LOG_MS = 60_000;
+    /** Ms without any check-in after which a leader gives way to a peer that workers reach: over two reports. */
+    public static final long DEAF_MS = 7_000;
+    /** Ms for which a node that gave way does not stand again. */
+    public static final long RESIGNED_MS = 20_000;
     /** Ms after which an idle node asks the state service for a sign of life. */
     public static final long STATE_PROBE_MS = 1_500;
     /** Ms between two readings of the machine types: spot prices move slowly. */
--- a/src/main/java/org/spoolline/state/StateClient.java
+++ b/src/main/java/org/spoolline/state/StateClient.java
@@ -223,6 +223,12 @@
                 reply -> done.accept(reply.status()));
     }
 
+    /** Ends a lease at once; without an answer it ends by itself. */
+    public void endLease(long lease) {
+        force(0);
+        send("DELETE", "/leases/" + lease, null, Constants.STATE_TIMEOUT_MS, reply -> { });
+    }
+
     /** Waits for changes under a prefix after a revision. */
     public void watch(String prefix, long after, Consumer<Watched> done) {
         requests.force(1, loop.now());
--- a/src/main/java/org/spoolline/workers/CheckIns.java
+++ b/src/main/java/org/spoolline/workers/CheckIns.java
@@ -45,6 +45,7 @@
     private final Runnable news;
     private final Map<String, Held> waiting = new LinkedHashMap<>();
     private boolean ready;
+    private long lastHeardAt;
 
     public CheckIns(Loop loop, Http.Caller http, long leaseMs, Leadership leadership, MachineTable machines, JobTable jobs, Wishes wishes,
                     Runnable news) {
@@ -58,6 +59,16 @@
         this.news = news;
     }
 
+    /** True when a worker has come here lately, whatever it was answered. */
+    public boolean hearsWorkers() {
+        return loop.now() - lastHeardAt < Constants.DEAF_MS;
+    }
+
+    /** True when machines should be reporting, and none has for too long: the workers may not get through to us. */
+    public boolean deaf() {
+        return !hearsWorkers() && machines.all().stream().anyMatch(m -> !m.gone());
+    }
+
     /** Orders are given only once the live pipelines have been read under the present token. */
     public void ready(boolean value) {
         ready = value;
@@ -69,6 +80,7 @@
             answer.accept(Http.Response.of(400, error("not a check-in")));
             return;
         }
+        lastHeardAt = loop.now();
         leadership.workerSawToken(report.token());
         if (!leadership.mayKeepAlive()) {
             redirect(answer);
--- a/src/test/java/org/spoolline/world/FakeState.java
+++ b/src/test/java/org/spoolline/world/FakeState.java
@@ -105,6 +105,9 @@
             leaseTtls.put(lease, ttl);
             leaseEnds.put(lease, world.now() + ttl);
             answer(reply, 200, Json.object().put("ticket", lease));
+        } else if (request.method().equals("DELETE")) {
+            end(Long.parseLong(path.split("/")[2]));
+            answer(reply, 200, Json.object());
         } else if (path.endsWith("/touch")) {
             long lease = Long.parseLong(path.split("/")[2]);
             if (leaseEnds.containsKey(lease)) {
--- a/src/test/java/org/spoolline/world/StoriesTest.java
+++ b/src/test/java/org/spoolline/world/StoriesTest.java
@@ -126,6 +126,18 @@
         });
     }
 
+    /** A leader whom no worker reaches once kept them all waiting until their leases ended. */
+    @Test
+    void theLeaderLosesTheWorkersAloneAndGivesWay() {
+        day(300, world -> {
+            String deaf = leader(world);
+            List<String> workers = List.copyOf(world.workers().keySet());
+            workers.forEach(w -> world.cut(w, deaf, World.Cut.LOSE));
+            world.at(14_000, () -> assertFalse(deaf.equals(world.leader())));
+            world.at(40_000, () -> workers.forEach(w -> world.cut(w, deaf, World.Cut.NONE)));
+        });
+    }
+
     @Test
     void theStateServiceIsOutForAWhile() {
         day(260, world -> world.state.outage(20));
