--- a/src/main/java/org/spoolline/workers/CheckIns.java
+++ b/src/main/java/org/spoolline/workers/CheckIns.java
@@ -83,7 +83,7 @@
         lastHeardAt = loop.now();
         leadership.workerSawToken(report.token());
         if (!leadership.mayKeepAlive()) {
-            redirect(answer);
+            redirect(report.machine(), answer);
             return;
         }
         Machine machine = machines.meet(report.machine(), report.type(), report.zone(), report.spot(), loop.now());
@@ -200,8 +200,9 @@
         return false;
     }
 
-    private void redirect(Consumer<Http.Response> answer) {
+    private void redirect(String machine, Consumer<Http.Response> answer) {
         String leader = leadership.knownLeader();
+        LOG.debug("{} is sent on to {}", machine, leader);
         if (leader == null) {
             answer.accept(Http.Response.of(503, error("no leader is known")));
         } else {
