Stories replay the same in every process: no set whose order a process salts

Set.copyOf and Map.copyOf iterate in an order that differs from process to process, and tasks of the in-memory world were kept by identity; either could have made a story's verdict differ from run to run.

--- a/src/main/java/org/spoolline/pipeline/Cekk.java
+++ b/src/main/java/org/spoolline/pipeline/Cekk.java
@@ -1,6 +1,7 @@
 package org.spoolline.pipeline;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -197,6 +198,7 @@
     }
 
     private State state() {
-        return new State(List.copyOf(branches), Map.copyOf(statuses), Map.copyOf(joined), failing);
+        return new State(List.copyOf(branches), Collections.unmodifiableMap(statuses),
+                Collections.unmodifiableMap(joined), failing);
     }
 }
--- a/src/main/java/org/spoolline/placement/Rounds.java
+++ b/src/main/java/org/spoolline/placement/Rounds.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -584,8 +585,9 @@
     }
 
     private void tell(boolean settled) {
-        outcomes.written(settled, Set.copyOf(withNews));
+        Set<String> news = new LinkedHashSet<>(withNews);
         withNews.clear();
+        outcomes.written(settled, news);
     }
 
     private void applied(Change change, long revision) {
--- a/src/test/java/org/spoolline/world/StoriesTest.java
+++ b/src/test/java/org/spoolline/world/StoriesTest.java
@@ -60,6 +60,24 @@
                 .orElseGet(() -> world.workers().values().iterator().next());
     }
 
+    /** Without this, a failure could not be looked into again. */
+    @Test
+    void theSameSeedReplaysTheSameDay() {
+        List<String> days = new ArrayList<>();
+        for (int i = 0; i < 2; i++) {
+            World world = new World(9);
+            world.run(3);
+            for (int n = 0; n < 6; n++) {
+                world.users.submit(jobOf(world, n));
+            }
+            world.at(20_000, () -> world.crashFor(leader(world), 3));
+            world.run(90);
+            days.add(world.rules.starts() + " " + world.state.value("token") + " " + world.workers().keySet() + " "
+                    + world.random.nextLong());
+        }
+        assertEquals(days.get(0), days.get(1));
+    }
+
     @Test
     void aQuietDayIsServedInFull() {
         day(200, world -> { });
--- a/src/test/java/org/spoolline/world/Users.java
+++ b/src/test/java/org/spoolline/world/Users.java
@@ -3,8 +3,8 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -246,6 +246,6 @@
     }
 
     private Set<FakeWorker.Task> mates(FakeWorker.Task task) {
-        return gathering.computeIfAbsent(task.uid + "#" + task.attempt, k -> new HashSet<>());
+        return gathering.computeIfAbsent(task.uid + "#" + task.attempt, k -> new LinkedHashSet<>());
     }
 }
