A rental answered while leadership has lapsed for a moment counts; constants in one place

Cause, found by reading: after an outage of the state service the answer to a rental could be dropped because leadership had just lapsed; its offer then stayed noted as asked for and was never rented again in that term, and a deposed node went on repeating the request. Story added, which fails without the change. A stored value that can't be read no longer stops the others.

--- a/src/main/java/org/spoolline/Controller.java
+++ b/src/main/java/org/spoolline/Controller.java
@@ -110,5 +110,6 @@
     public void deposed(String why) {
         checkIns.ready(false);
         rounds.deposed();
+        fleet.deposed();
     }
 }
--- a/src/main/java/org/spoolline/cli/Rehearsal.java
+++ b/src/main/java/org/spoolline/cli/Rehearsal.java
@@ -28,7 +28,6 @@
  * classes a serving node loads, for the class data archive that shortens every start.
  */
 final class Rehearsal {
-    private static final int CHECK_INS = 12;
     private static final String JOB = """
             {"uid":"run-000001","lane":"a","desk":"t","shape":"batch","urgency":"standard","slips":2,"cores":1.0,
              "accelerators":0.0,"memGb":1.0,"plate":"i","imageGb":1.0,"builds":null,"yard":null,"samePlace":false,
@@ -114,13 +113,13 @@
     }
 
     private void checkIn() {
-        if (++checkIns > CHECK_INS) {
+        if (++checkIns > Constants.REHEARSED_CHECK_INS) {
             over.countDown();
             return;
         }
         ObjectNode report = Json.object().put("spooler", "m-000001").put("addr", "127.0.0.1:9").put("build", "b")
                 .put("yard", "a").put("standby", true).put("shift", 1).put("tick", checkIns).put("baton", 1);
-        if (checkIns > CHECK_INS / 2) {
+        if (checkIns > Constants.REHEARSED_CHECK_INS / 2) {
             report.putArray("slips").addObject().put("slip", "run-000001/0").put("try", 1).put("status", "exited")
                     .put("cause", "done");
         }
--- a/src/main/java/org/spoolline/fleet/Fleet.java
+++ b/src/main/java/org/spoolline/fleet/Fleet.java
@@ -72,6 +72,11 @@
         returning.clear();
     }
 
+    /** Whatever is under way no longer concerns this node. */
+    public void deposed() {
+        term = 0;
+    }
+
     /** One pass: asks for the list when it is due, rents for the wants, returns idle, lost and failed machines. */
     public void pass(List<Placer.Want> wants, Predicate<String> holdsWork) {
         long now = loop.now();
@@ -92,7 +97,7 @@
     }
 
     private void list(String after, Set<String> seen, long askedAt, long mine) {
-        http.call(settings.cloudAddress(), "GET", "/rentals?after=" + after + "&most=500", null,
+        http.call(settings.cloudAddress(), "GET", "/rentals?after=" + after + "&most=" + Constants.LIST_PAGE, null,
                 Constants.CLOUD_TIMEOUT_MS, reply -> {
                     if (!reply.ok() || term != mine || !leadership.valid()) {
                         return;
@@ -175,34 +180,48 @@
         ObjectNode body = Json.object().put("hire", name).put("build", offer.type()).put("yard", offer.zone())
                 .put("standby", offer.spot()).put("count", count);
         http.call(settings.cloudAddress(), "POST", "/rentals", Json.bytes(body), Constants.CLOUD_TIMEOUT_MS, reply -> {
-            if (term != mine || !leadership.valid()) {
-                return;
+            // The answer counts even while leadership has lapsed for a moment: an offer that stays noted as asked for
+            // would never be rented again in this term.
+            if (term == mine) {
+                answered(offer, count, name, reply);
             }
-            long now = loop.now();
-            if (reply.ok()) {
-                JsonNode names = Json.read(reply.body()).path("spoolers");
-                names.forEach(n -> machines.meet(n.asText(), offer.type(), offer.zone(), offer.spot(), now));
-                asked.remove(offer);
-                LOG.info("rented {} of {} {} in {}{} as {}", names.size(), count, offer.type(), offer.zone(),
-                        offer.spot() ? " (spot)" : "", name);
-                if (names.size() < count) {
-                    refusedUntil.put(offer, now + Constants.REFUSED_MS);
-                }
-                news.run();
-            } else if (reply.status() == 503 || reply.status() == 400) {
-                LOG.info("no {} in {}{} to rent: {}", offer.type(), offer.zone(), offer.spot() ? " (spot)" : "",
-                        reply.status());
-                asked.remove(offer);
+        });
+    }
+
+    private void answered(RentalPlan.Offer offer, int count, String name, Http.Reply reply) {
+        long now = loop.now();
+        if (reply.ok()) {
+            JsonNode names = Json.read(reply.body()).path("spoolers");
+            names.forEach(n -> machines.meet(n.asText(), offer.type(), offer.zone(), offer.spot(), now));
+            asked.remove(offer);
+            LOG.info("rented {} of {} {} in {}{} as {}", names.size(), count, offer.type(), offer.zone(),
+                    offer.spot() ? " (spot)" : "", name);
+            if (names.size() < count) {
                 refusedUntil.put(offer, now + Constants.REFUSED_MS);
-                news.run();
+            }
+            news.run();
+        } else if (reply.status() == 503 || reply.status() == 400) {
+            LOG.info("no {} in {}{} to rent: {}", offer.type(), offer.zone(), offer.spot() ? " (spot)" : "",
+                    reply.status());
+            asked.remove(offer);
+            refusedUntil.put(offer, now + Constants.REFUSED_MS);
+            news.run();
+        } else {
+            askAgain(offer, count, name, term);
+        }
+    }
+
+    /** Without an answer, only the same name is sure to rent nothing twice; only a leader asks. */
+    private void askAgain(RentalPlan.Offer offer, int count, String name, long mine) {
+        loop.after(Constants.RETRY_MS * 2, () -> {
+            if (term != mine) {
+                return;
+            }
+            if (leadership.valid()) {
+                budget.force(1, loop.now());
+                request(offer, count, name, mine);
             } else {
-                // Without an answer, only the same name is sure to rent nothing twice.
-                loop.after(Constants.RETRY_MS * 2, () -> {
-                    if (term == mine) {
-                        budget.force(1, loop.now());
-                        request(offer, count, name, mine);
-                    }
-                });
+                askAgain(offer, count, name, mine);
             }
         });
     }
--- a/src/main/java/org/spoolline/pipeline/Pipeline.java
+++ b/src/main/java/org/spoolline/pipeline/Pipeline.java
@@ -24,7 +24,6 @@
  */
 public final class Pipeline {
     private static final String ACTIVITY = "tasks";
-    private static final int VERSION = 1;
 
     private final Submission spec;
     private final JsonNode rawSpec;
@@ -208,7 +207,7 @@
 
     /** The stored form. */
     public ObjectNode encode() {
-        ObjectNode value = Json.object().put("ver", VERSION);
+        ObjectNode value = Json.object().put("ver", Constants.PIPELINE_VERSION);
         value.set("job", rawSpec);
         value.put("at", acceptedAt);
         value.set("k", StackCodec.encode(cekk));
@@ -280,7 +279,7 @@
 
     /** Reads the stored form. */
     public static Pipeline decode(JsonNode value) {
-        if (value.path("ver").asInt() != VERSION) {
+        if (value.path("ver").asInt() != Constants.PIPELINE_VERSION) {
             throw new IllegalArgumentException("pipeline value of unknown version " + value.path("ver"));
         }
         List<Attempt> attempts = new ArrayList<>();
--- a/src/main/java/org/spoolline/pipeline/SubmissionCodec.java
+++ b/src/main/java/org/spoolline/pipeline/SubmissionCodec.java
@@ -7,12 +7,11 @@
 import java.util.Set;
 import java.util.regex.Pattern;
 import org.spoolline.net.Json;
+import org.spoolline.settings.Constants;
 
 /** A submission's wire form: checked on the way in, kept in the stored value by the same names. */
 public final class SubmissionCodec {
     private static final Pattern UID = Pattern.compile("run-[0-9]{1,30}");
-    private static final int MAX_TASKS = 100_000;
-    private static final int MAX_NAME = 200;
 
     /** The submission is malformed; the message names the field. */
     public static final class Malformed extends Exception {
@@ -53,7 +52,8 @@
             default -> throw new Malformed("urgency");
         };
         JsonNode slips = in.path("slips");
-        if (!slips.isIntegralNumber() || !slips.canConvertToInt() || slips.asInt() < 1 || slips.asInt() > MAX_TASKS) {
+        if (!slips.isIntegralNumber() || !slips.canConvertToInt() || slips.asInt() < 1
+                || slips.asInt() > Constants.MAX_TASKS) {
             throw new Malformed("slips");
         }
         Set<String> builds = null;
@@ -128,7 +128,7 @@
 
     private static String text(JsonNode in, String name) throws Malformed {
         JsonNode value = in.path(name);
-        if (!value.isTextual() || value.asText().isEmpty() || value.asText().length() > MAX_NAME) {
+        if (!value.isTextual() || value.asText().isEmpty() || value.asText().length() > Constants.MAX_NAME) {
             throw new Malformed(name);
         }
         return value.asText();
--- a/src/main/java/org/spoolline/placement/JobTable.java
+++ b/src/main/java/org/spoolline/placement/JobTable.java
@@ -4,6 +4,8 @@
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import org.spoolline.pipeline.Attempt;
 import org.spoolline.pipeline.Pipeline;
 import org.spoolline.state.StateClient;
@@ -45,6 +47,8 @@
         }
     }
 
+    private static final Logger LOG = LoggerFactory.getLogger(JobTable.class);
+
     private final Map<String, Entry> entries = new LinkedHashMap<>();
     private final Map<String, Map<Machine.Start, Attempt>> byMachine = new HashMap<>();
     private final Map<String, Long> removed = new HashMap<>();
@@ -84,7 +88,12 @@
             drop(uid, change.version());
         } else if (entry != null || change.version() > removed.getOrDefault(uid, 0L)) {
             // A change older than the job's removal must not bring it back: its attempts would be launched again.
-            confirm(uid, Pipeline.decode(change.value()), change.version());
+            try {
+                confirm(uid, Pipeline.decode(change.value()), change.version());
+            } catch (IllegalArgumentException e) {
+                // One value that can't be read, perhaps of a later version, must not stop all the others.
+                LOG.error("the stored value of {} can't be read: {}", uid, e.getMessage());
+            }
         }
     }
 
--- a/src/main/java/org/spoolline/placement/Rounds.java
+++ b/src/main/java/org/spoolline/placement/Rounds.java
@@ -514,7 +514,8 @@
         int bytes = 0;
         for (Change change : changes) {
             int cost = over(change.next()) ? 2 : 1;
-            int size = over(change.next()) ? 512 : Json.bytes(change.next().encode()).length + 128;
+            int size = over(change.next()) ? Constants.FINAL_BYTES
+                    : Json.bytes(change.next().encode()).length + Constants.FRAME_BYTES;
             if (allowance < cost || txnsInFlight >= Constants.TXNS_IN_FLIGHT) {
                 break;
             }
--- a/src/main/java/org/spoolline/settings/Constants.java
+++ b/src/main/java/org/spoolline/settings/Constants.java
@@ -83,6 +83,14 @@
     /** Ms after which machines cleared for a job that has still not started there are given free again. */
     public static final long RESERVED_MS = 20_000;
 
+    /** Version of the stored pipeline value: a later one can tell and convert it. */
+    public static final int PIPELINE_VERSION = 1;
+    /** Tasks of a job at most, by the protocol. */
+    public static final int MAX_TASKS = 100_000;
+    /** Characters of a name in a submission: keeps the stored value well within its limit. */
+    public static final int MAX_NAME = 200;
+    /** Orders in one answer to a check-in: keeps its single line well under 64 KiB. */
+    public static final int MAX_ORDERS = 400;
     /** Tasks past the first unfinished one that may be active: bounds the stored join. */
     public static final int JOIN_WINDOW = 8192;
     /** Share of the value limit that new placements may fill; completions need the rest. */
@@ -118,6 +126,15 @@
     public static final long QUIET_MS = 8_000;
     /** Ms without a check-in after which a machine that should run is returned. */
     public static final long LOST_MS = 60_000;
+    /** Items of one page of a listing: some 500 values of a few hundred bytes stay under the page's 512 KiB. */
+    public static final int LIST_PAGE = 500;
+    /** Bytes of a transaction for one lasting record, and for the frame around one live value. */
+    public static final int FINAL_BYTES = 512;
+    public static final int FRAME_BYTES = 128;
+    /** Significant digits of recorded latencies. */
+    public static final int LATENCY_DIGITS = 2;
+    /** Check-ins of the build's rehearsal: enough to place, launch, finish and close a job. */
+    public static final int REHEARSED_CHECK_INS = 12;
     /** Ms between two log lines on the state service's latency. */
     public static final long LATENCY_LOG_MS = 60_000;
     /** Ms without any check-in after which a leader gives way to a peer that workers reach: over two reports. */
--- a/src/main/java/org/spoolline/state/Latencies.java
+++ b/src/main/java/org/spoolline/state/Latencies.java
@@ -8,9 +8,8 @@
 /** How long the state service takes to answer, logged once a minute: the first thing to look at in an incident. */
 final class Latencies {
     private static final Logger LOG = LoggerFactory.getLogger(Latencies.class);
-    private static final int DIGITS = 2;
 
-    private final Histogram millis = new Histogram(Constants.STATE_TIMEOUT_MS * 2, DIGITS);
+    private final Histogram millis = new Histogram(Constants.STATE_TIMEOUT_MS * 2, Constants.LATENCY_DIGITS);
     private long refused;
     private long unanswered;
     private long loggedAt;
--- a/src/main/java/org/spoolline/workers/CheckIns.java
+++ b/src/main/java/org/spoolline/workers/CheckIns.java
@@ -23,8 +23,6 @@
  */
 public final class CheckIns {
     private static final Logger LOG = LoggerFactory.getLogger(CheckIns.class);
-    /** Orders in one answer: keeps its single line well under 64 KiB. */
-    private static final int MAX_ORDERS = 400;
 
     /** What the rounds want of stored attempts. */
     public interface Wishes {
@@ -231,7 +229,7 @@
         }
         for (Map.Entry<Machine.Start, Attempt> e : stored.entrySet()) {
             Machine.Start start = e.getKey();
-            if (orders.size() < MAX_ORDERS && e.getValue().session() == machine.session()
+            if (orders.size() < Constants.MAX_ORDERS && e.getValue().session() == machine.session()
                     && !machine.tasks().containsKey(start) && grace(start, e.getValue()) == null
                     && wishes.mayLaunch(start)
                     && noOtherAttempt(machine, start)) {
--- a/src/test/java/org/spoolline/world/StoriesTest.java
+++ b/src/test/java/org/spoolline/world/StoriesTest.java
@@ -330,6 +330,31 @@
         assertEquals(up, world.workers().values().stream().filter(w -> !w.dead()).count());
     }
 
+    /** An offer that was noted as asked for when leadership lapsed for a moment was once never rented again. */
+    @Test
+    void aRentalAnsweredWhileLeadershipHasLapsedIsNotAskedForEver() {
+        World world = new World(6);
+        world.run(8);
+        String leader = world.leader();
+        world.cut(leader, "cloud", World.Cut.HOLD);
+        onlySmallInZoneA(world, 400);
+        world.run(0.5);
+        world.state.outage(12);
+        world.run(6);
+        world.cut(leader, "cloud", World.Cut.NONE);
+        world.run(30);
+        assertEquals(leader, world.leader());
+        Users.Job second = onlySmallInZoneA(world, 20);
+        world.run(90);
+        assertEquals("done", second.status());
+        assertEquals(List.of(), world.rules.broken());
+    }
+
+    private static Users.Job onlySmallInZoneA(World world, double runS) {
+        Users.Job job = world.users.job("blue", "batch", 2, 8, runS).with("yard", "a").with("standby", false);
+        return world.users.submit(job.with("builds", Json.array().add("small")));
+    }
+
     @Test
     void idleMachinesAreReturned() {
         World world = new World(3);
--- a/src/test/java/org/spoolline/world/Users.java
+++ b/src/test/java/org/spoolline/world/Users.java
@@ -72,7 +72,11 @@
         }
 
         public Job with(String field, Object value) {
-            body.putPOJO(field, value);
+            if (value instanceof JsonNode tree) {
+                body.set(field, tree);
+            } else {
+                body.putPOJO(field, value);
+            }
             return this;
         }
 
