--- a/src/test/java/org/spoolline/world/FakeCloud.java
+++ b/src/test/java/org/spoolline/world/FakeCloud.java
@@ -28,6 +28,8 @@
     /** Machines of one type, zone and kind at most. */
     public int capacity = 6;
     public double bootS = 10;
+    /** Machines that never come up: the next so many. */
+    public int neverUp;
 
     FakeCloud(World world) {
         this.world = world;
@@ -100,6 +102,10 @@
                 rented.put(name, new Rented(name, type, zone, spot, world.now()));
                 given.add(name);
                 long boot = (long) (bootS * 1000 * (0.6 + 0.9 * world.random.nextDouble()));
+                if (neverUp > 0) {
+                    neverUp--;
+                    continue;
+                }
                 world.at(boot, () -> {
                     if (rented.containsKey(name)) {
                         world.workers.put(name, new FakeWorker(world, name, type, zone, spot));
--- a/src/test/java/org/spoolline/world/StoriesTest.java
+++ b/src/test/java/org/spoolline/world/StoriesTest.java
@@ -179,6 +179,40 @@
         });
     }
 
+    @Test
+    void theStateServiceAnswersSlowly() {
+        day(300, world -> {
+            world.slow("state", true);
+            world.at(60_000, () -> world.slow("state", false));
+        });
+    }
+
+    @Test
+    void machinesBootLateOrNever() {
+        day(400, world -> {
+            world.cloud.bootS = 45;
+            world.cloud.neverUp = 3;
+        });
+    }
+
+    @Test
+    void jobsComeInABurst() {
+        day(400, world -> {
+            for (int i = 0; i < 24; i++) {
+                world.users.submit(jobOf(world, i));
+            }
+        });
+    }
+
+    @Test
+    void estimatesAreWrongThroughout() {
+        day(300, world -> {
+            for (int i = 0; i < 8; i++) {
+                world.users.submit(jobOf(world, i).with("expectS", i % 2 == 0 ? 0.5 : 900.0));
+            }
+        });
+    }
+
     @Test
     void machinesDie() {
         day(260, world -> {
