--- a/src/main/java/org/spoolline/Controller.java
+++ b/src/main/java/org/spoolline/Controller.java
@@ -41,7 +41,8 @@
         JobTable jobs = new JobTable();
         rounds = new Rounds(loop, settings, state, leadership, catalog, machines, jobs);
         fleet = new Fleet(loop, http, settings, leadership, catalog, machines, rounds::poke);
-        checkIns = new CheckIns(loop, http, settings.workers().leaseMs(), leadership, machines, jobs, rounds, rounds::poke);
+        checkIns = new CheckIns(loop, http, settings.workers().leaseMs(), leadership, machines, jobs, rounds,
+                rounds::poke);
         rounds.connect(fleet, new Rounds.Outcomes() {
             @Override
             public void loaded() {
@@ -77,7 +78,7 @@
         } else if (path.equals("/healthz")) {
             answer.accept(Http.Response.of(healthy() ? 200 : 503, new byte[0]));
         } else {
-            answer.accept(Http.Response.of(404, Json.bytes(Json.object().put("error", "no such path"))));
+            answer.accept(Http.Response.of(404, Json.error("no such path")));
         }
     }
 
--- a/src/main/java/org/spoolline/fleet/RentalPlan.java
+++ b/src/main/java/org/spoolline/fleet/RentalPlan.java
@@ -8,7 +8,6 @@
 import java.util.function.Predicate;
 import org.spoolline.pipeline.Submission;
 import org.spoolline.placement.Placer;
-import org.spoolline.settings.Constants;
 
 /** Decides what to rent for the tasks that found no room. Pure. */
 public final class RentalPlan {
@@ -16,41 +15,6 @@
     public record Offer(String type, String zone, boolean spot) {
     }
 
-    /** Room on a machine that is on its way, or that this plan rents. */
-    private static final class Room {
-        final MachineType type;
-        final String zone;
-        final boolean spot;
-        double cores;
-        double memoryGb;
-        double accelerators;
-
-        Room(MachineType type, String zone, boolean spot) {
-            this.type = type;
-            this.zone = zone;
-            this.spot = spot;
-            this.cores = type.cores();
-            this.memoryGb = type.memoryGb();
-            this.accelerators = type.accelerators();
-        }
-
-        int take(Submission job, int tasks) {
-            if (job.types() != null && !job.types().contains(type.name())
-                    || job.zone() != null && !job.zone().equals(zone) || spot && !job.spot()) {
-                return 0;
-            }
-            int taken = 0;
-            while (taken < tasks && job.cores() <= cores + Constants.EPSILON && job.memoryGb() <= memoryGb + Constants.EPSILON
-                    && job.accelerators() <= accelerators + Constants.EPSILON) {
-                cores -= job.cores();
-                memoryGb -= job.memoryGb();
-                accelerators -= job.accelerators();
-                taken++;
-            }
-            return taken;
-        }
-    }
-
     private RentalPlan() {
     }
 
@@ -69,7 +33,7 @@
             Submission job = want.job().spec();
             int left = want.tasks();
             for (Room room : rooms) {
-                left -= room.take(job, left);
+                left -= fill(room, job, left);
             }
             while (left > 0) {
                 Offer offer = best(job, left, types, available);
@@ -77,7 +41,7 @@
                     break;
                 }
                 Room room = new Room(types.get(offer.type()), offer.zone(), offer.spot());
-                left -= room.take(job, left);
+                left -= fill(room, job, left);
                 rooms.add(room);
                 rent.merge(offer, 1, Integer::sum);
             }
@@ -85,6 +49,16 @@
         return rent;
     }
 
+    /** Takes room for up to so many tasks; returns for how many there was. */
+    private static int fill(Room room, Submission job, int tasks) {
+        int taken = 0;
+        while (taken < tasks && room.allows(job) && room.fits(job)) {
+            room.take(job);
+            taken++;
+        }
+        return taken;
+    }
+
     /** The cheapest offer for the tasks left; among nearly equal ones the one that boots sooner. */
     private static Offer best(Submission job, int left, Map<String, MachineType> types, Predicate<Offer> available) {
         record Scored(Offer offer, double cost, double bootS) {
--- a/src/main/java/org/spoolline/intake/Intake.java
+++ b/src/main/java/org/spoolline/intake/Intake.java
@@ -67,7 +67,7 @@
             if (request.method().equals("POST")) {
                 submit(request.body(), answer);
             } else {
-                answer.accept(Http.Response.of(405, error("use POST")));
+                answer.accept(Http.Response.of(405, Json.error("use POST")));
             }
             return;
         }
@@ -75,13 +75,13 @@
         boolean abort = rest.endsWith(ABORT);
         String uid = abort ? rest.substring(0, rest.length() - ABORT.length()) : rest;
         if (!SubmissionCodec.validUid(uid)) {
-            answer.accept(Http.Response.of(404, error("no such job")));
+            answer.accept(Http.Response.of(404, Json.error("no such job")));
         } else if (abort && request.method().equals("POST")) {
             cancel(uid, Constants.CANCEL_TRIES, answer);
         } else if (!abort && request.method().equals("GET")) {
             poll(uid, answer);
         } else {
-            answer.accept(Http.Response.of(405, error("method not allowed")));
+            answer.accept(Http.Response.of(405, Json.error("method not allowed")));
         }
     }
 
@@ -91,7 +91,7 @@
             job = SubmissionCodec.parse(Json.read(body));
         } catch (SubmissionCodec.Malformed e) {
             LOG.info("turned away a malformed submission: {}", e.getMessage());
-            answer.accept(Http.Response.of(400, error("malformed: " + e.getMessage())));
+            answer.accept(Http.Response.of(400, Json.error("malformed: " + e.getMessage())));
             return;
         }
         if (finals.containsKey(job.uid())) {
@@ -107,7 +107,7 @@
         Pipeline pipeline = Pipeline.accept(job, raw, loop.timeOfDay());
         ObjectNode value = pipeline.encode();
         if (never == null && Json.bytes(value).length > settings.state().valueBytes() / 2) {
-            answer.accept(Http.Response.of(400, error("malformed: the description is too long")));
+            answer.accept(Http.Response.of(400, Json.error("malformed: the description is too long")));
             return;
         }
         if (never != null) {
@@ -116,7 +116,7 @@
                 if (stored.known()) {
                     answer.accept(Http.Response.of(200, describe(job.uid(), stored)));
                 } else {
-                    answer.accept(Http.Response.of(422, error(never)));
+                    answer.accept(Http.Response.of(422, Json.error(never)));
                 }
             });
             return;
@@ -175,7 +175,7 @@
             if (stored.known()) {
                 answer.accept(Http.Response.of(200, describe(uid, stored)));
             } else {
-                answer.accept(Http.Response.of(404, error("no such job")));
+                answer.accept(Http.Response.of(404, Json.error("no such job")));
             }
         });
     }
@@ -183,7 +183,7 @@
     private void cancel(String uid, int tries, Consumer<Http.Response> answer) {
         lookUp(uid, answer, stored -> {
             if (!stored.known()) {
-                answer.accept(Http.Response.of(404, error("no such job")));
+                answer.accept(Http.Response.of(404, Json.error("no such job")));
                 return;
             }
             if (stored.last() != null) {
@@ -266,14 +266,10 @@
     }
 
     private static void unavailable(Consumer<Http.Response> answer) {
-        answer.accept(new Http.Response(503, error("not now"), Constants.RETRY_AFTER_S));
+        answer.accept(new Http.Response(503, Json.error("not now"), Constants.RETRY_AFTER_S));
     }
 
     private static void busy(Consumer<Http.Response> answer) {
-        answer.accept(new Http.Response(429, error("too many requests"), Constants.RETRY_AFTER_S));
-    }
-
-    private static byte[] error(String why) {
-        return Json.bytes(Json.object().put("error", why));
+        answer.accept(new Http.Response(429, Json.error("too many requests"), Constants.RETRY_AFTER_S));
     }
 }
--- a/src/main/java/org/spoolline/net/Json.java
+++ b/src/main/java/org/spoolline/net/Json.java
@@ -33,6 +33,11 @@
         }
     }
 
+    /** The body of every answer that says what is wrong. */
+    public static byte[] error(String why) {
+        return bytes(object().put("error", why));
+    }
+
     public static byte[] bytes(JsonNode tree) {
         try {
             return MAPPER.writeValueAsBytes(tree);
--- a/src/main/java/org/spoolline/peers/Peers.java
+++ b/src/main/java/org/spoolline/peers/Peers.java
@@ -13,7 +13,8 @@
 
 /**
  * Asks the other controllers how they are: tells an outage from one's own cut, hears of newer leaders, and hands users'
- * requests to a peer while this node alone can't reach the state service. The peer that commits is the one that answers.
+ * requests to a peer while this node alone can't reach the state service. The peer that commits is the one that
+ * answers.
  */
 public final class Peers {
     private static final String STATUS = "/status";
--- a/src/main/java/org/spoolline/pipeline/Submission.java
+++ b/src/main/java/org/spoolline/pipeline/Submission.java
@@ -27,6 +27,11 @@
         return checkpointS > 0;
     }
 
+    /** Seconds of grace with which a task is stopped: enough to save, none where nothing is saved. */
+    public double stopGraceS() {
+        return saves() ? saveS + 1 : 0;
+    }
+
     /** At most so many of the tasks may be in one zone. */
     public int zoneLimit() {
         return spread ? (tasks + 1) / 2 : tasks;
--- a/src/main/java/org/spoolline/placement/Picture.java
+++ b/src/main/java/org/spoolline/placement/Picture.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.spoolline.fleet.MachineType;
 import org.spoolline.pipeline.Attempt;
 import org.spoolline.pipeline.Pipeline;
@@ -17,7 +18,7 @@
  * @param reserved   machines that are being cleared, with the job they are cleared for
  * @param usable      machines that take work now
  */
-public record Picture(List<Pipeline> jobs, Map<String, List<Attempt>> holding, java.util.Set<String> placeable,
+public record Picture(List<Pipeline> jobs, Map<String, List<Attempt>> holding, Set<String> placeable,
                       Map<String, Machine> machines, List<Machine> usable,
                       Map<String, String> reserved, Map<String, MachineType> types, Settings settings,
                       long timeOfDay, long now) {
--- a/src/main/java/org/spoolline/placement/Placer.java
+++ b/src/main/java/org/spoolline/placement/Placer.java
@@ -56,8 +56,7 @@
         for (Machine m : picture.usable()) {
             MachineType type = picture.types().get(m.type());
             if (type != null) {
-                Node node = new Node(m, type, m.zone(), m.spot());
-                node.reservedFor = picture.reserved().get(m.name());
+                Node node = new Node(m, type, picture.reserved().get(m.name()));
                 nodes.add(node);
                 byName.put(m.name(), node);
             }
@@ -136,7 +135,7 @@
         // then cheap machines, and the fullest of them, so that the dear ones empty out and can be returned.
         fitting.sort(Comparator.<Node>comparingInt(n -> n.fetchS(spec) < Constants.SHORT_FETCH_S ? 0 : 1)
                 .thenComparingDouble(n -> n.type.cores()).thenComparingInt(n -> n.spot ? 0 : 1)
-                .thenComparingDouble(n -> n.cores)
+                .thenComparingDouble(Node::cores)
                 .thenComparing(n -> n.machine.name()));
         List<Node> chosen = choose(job, fitting, allowed);
         if (spec.gang() && chosen.size() < allowed) {
@@ -226,7 +225,8 @@
         double[] use = teamUse.computeIfAbsent(spec.team(), t -> new double[2]);
         double room = Math.floor((team.coresMax() - use[0]) / spec.cores() + Constants.EPSILON);
         if (spec.accelerators() > 0) {
-            room = Math.min(room, Math.floor((team.acceleratorsMax() - use[1]) / spec.accelerators() + Constants.EPSILON));
+            room = Math.min(room, Math.floor((team.acceleratorsMax() - use[1]) / spec.accelerators()
+                    + Constants.EPSILON));
         }
         return (int) Math.max(0, Math.min(room, Integer.MAX_VALUE));
     }
--- a/src/main/java/org/spoolline/placement/Preemption.java
+++ b/src/main/java/org/spoolline/placement/Preemption.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.spoolline.fleet.Room;
 import org.spoolline.pipeline.Attempt;
 import org.spoolline.pipeline.Pipeline;
 import org.spoolline.pipeline.Submission;
@@ -69,7 +70,7 @@
                 machines.add(c.node().machine.name());
                 taken.add(c.node().machine.name());
                 for (Victim v : c.victims()) {
-                    leaving.put(Machine.Start.of(v.job().uid(), v.attempt()), grace(v.job().spec()));
+                    leaving.put(Machine.Start.of(v.job().uid(), v.attempt()), v.job().spec().stopGraceS());
                 }
             }
             clearings.add(new Placer.Clearing(job.uid(), machines, leaving));
@@ -77,10 +78,6 @@
         return clearings;
     }
 
-    private static double grace(Submission spec) {
-        return spec.saves() ? spec.saveS() + 1 : 0;
-    }
-
     private void collect() {
         for (Pipeline job : picture.jobs()) {
             // A gang would lose all its members for the room of one.
@@ -136,7 +133,7 @@
         return best;
     }
 
-    /** Machines with savers to leave for so many tasks of an array, the ones that lose least first. */
+    /** Machines from which savers leave for up to so many tasks of an array. */
     private List<Choice> room(Pipeline job, int tasks) {
         Submission spec = job.spec();
         List<Choice> choices = new ArrayList<>();
@@ -147,21 +144,19 @@
                 continue;
             }
             List<Victim> leaving = new ArrayList<>();
-            double cores = node.cores;
-            double memory = node.memoryGb;
+            Room free = node.copy();
             for (Victim v : victims.getOrDefault(node.machine.name(), List.of())) {
-                if (cleared + Math.floor(cores / spec.cores()) >= tasks) {
+                if (cleared + Math.floor(free.cores() / spec.cores()) >= tasks) {
                     break;
                 }
                 if (v.job().spec().saves() && mayTakeFrom(job, v.job())) {
                     leaving.add(v);
-                    cores += v.job().spec().cores();
-                    memory += v.job().spec().memoryGb();
+                    free.release(v.job().spec());
                     borrowed.merge(v.job().spec().team(), -v.job().spec().cores(), Double::sum);
                 }
             }
-            int fits = (int) Math.min(Math.floor(cores / spec.cores() + Constants.EPSILON),
-                    spec.memoryGb() > 0 ? Math.floor(memory / spec.memoryGb() + Constants.EPSILON) : tasks);
+            int fits = (int) Math.min(Math.floor(free.cores() / spec.cores() + Constants.EPSILON),
+                    spec.memoryGb() > 0 ? Math.floor(free.memoryGb() / spec.memoryGb() + Constants.EPSILON) : tasks);
             if (!leaving.isEmpty() && fits > 0) {
                 choices.add(new Choice(node, leaving, 0));
                 cleared += fits;
@@ -183,27 +178,20 @@
     /** What would have to leave the machine for one task of the job, or null when that is not allowed. */
     private Choice choice(Pipeline job, Node node) {
         Submission spec = job.spec();
-        double cores = node.cores;
-        double memory = node.memoryGb;
-        double accelerators = node.accelerators;
+        Room free = node.copy();
         List<Victim> leaving = new ArrayList<>();
         double cost = spec.cores() * node.fetchS(spec);
         List<Victim> here = new ArrayList<>(victims.getOrDefault(node.machine.name(), List.of()));
         here.removeIf(v -> v.job().spec().priority().compareTo(spec.priority()) >= 0);
         here.sort(Comparator.comparingDouble(Victim::loss));
         for (Victim v : here) {
-            if (cores + Constants.EPSILON >= spec.cores() && memory + Constants.EPSILON >= spec.memoryGb()
-                    && accelerators + Constants.EPSILON >= spec.accelerators()) {
+            if (free.fits(spec)) {
                 break;
             }
             leaving.add(v);
-            cores += v.job().spec().cores();
-            memory += v.job().spec().memoryGb();
-            accelerators += v.job().spec().accelerators();
+            free.release(v.job().spec());
             cost += v.loss();
         }
-        boolean fits = cores + Constants.EPSILON >= spec.cores() && memory + Constants.EPSILON >= spec.memoryGb()
-                && accelerators + Constants.EPSILON >= spec.accelerators();
-        return fits ? new Choice(node, leaving, cost) : null;
+        return free.fits(spec) ? new Choice(node, leaving, cost) : null;
     }
 }
--- a/src/main/java/org/spoolline/placement/Rounds.java
+++ b/src/main/java/org/spoolline/placement/Rounds.java
@@ -62,7 +62,6 @@
     private final Map<String, Set<Machine.Start>> afterMates = new HashMap<>();
     private final Set<String> withNews = new HashSet<>();
     private final Map<String, Reservation> reservations = new LinkedHashMap<>();
-    private List<Placer.Want> wants = List.of();
 
     /** Machines that are being cleared for a job. */
     private record Reservation(Placer.Clearing clearing, long since) {
@@ -73,7 +72,7 @@
         /** The live pipelines are known under the present token. */
         void loaded();
 
-        /** Values were written; with {@code settled}, nothing more is under way. There are orders for these machines. */
+        /** Values were written; with {@code settled}, nothing more is under way. These machines have new orders. */
         void written(boolean settled, Set<String> withNews);
     }
 
@@ -81,6 +80,10 @@
     private record Change(JobTable.Entry entry, Pipeline next) {
     }
 
+    /** A change with what is to be stored for it: the live value, or the lasting record of a job that is over. */
+    private record Write(Change change, ObjectNode value) {
+    }
+
     public Rounds(Loop loop, Settings settings, StateClient state, Leadership leadership, Catalog catalog,
                   MachineTable machines, JobTable jobs) {
         this.loop = loop;
@@ -110,7 +113,6 @@
         afterMates.clear();
         withNews.clear();
         reservations.clear();
-        wants = List.of();
         load(token);
         tick(token);
     }
@@ -128,11 +130,7 @@
                 return;
             }
             if (!listing.reached()) {
-                loop.after(Constants.RETRY_MS, () -> {
-                    if (term == mine) {
-                        load(mine);
-                    }
-                });
+                later(Constants.RETRY_MS, mine, () -> load(mine));
                 return;
             }
             for (StateClient.Item item : listing.items()) {
@@ -166,11 +164,17 @@
             if (!watched.changes().isEmpty()) {
                 poke();
             }
-            loop.after(watched.reached() ? Constants.WATCH_PAUSE_MS : Constants.RETRY_MS, () -> {
-                if (term == mine) {
-                    watch(mine, watched.revision());
-                }
-            });
+            later(watched.reached() ? Constants.WATCH_PAUSE_MS : Constants.RETRY_MS, mine,
+                    () -> watch(mine, watched.revision()));
+        });
+    }
+
+    /** Runs the task on the loop, unless the term has ended by then. */
+    private void later(long delayMs, long mine, Runnable task) {
+        loop.after(delayMs, () -> {
+            if (term == mine) {
+                task.run();
+            }
         });
     }
 
@@ -256,19 +260,17 @@
             }
         }
         Placer.Plan plan = Placer.plan(picture(working));
-        wants = plan.wants();
         for (Placer.Clearing clearing : plan.clearings()) {
             reservations.put(clearing.uid(), new Reservation(clearing, loop.now()));
             withNews.addAll(clearing.machines());
-            clearing.leaving().forEach((start, grace) ->
-                    stops.computeIfAbsent(start.uid(), u -> new HashMap<>()).put(start, grace));
+            clearing.leaving().forEach(this::stop);
             LOG.info("clearing {} for {}: {} tasks leave", clearing.machines(), clearing.uid(),
                     clearing.leaving().size());
         }
         plan.placements().forEach((uid, placed) -> place(uid, placed, changes));
         lastBatch = changes.size();
         write(new ArrayList<>(changes.values()));
-        fleet.pass(wants, machinesWithWork()::contains);
+        fleet.pass(plan.wants(), machinesWithWork()::contains);
         tell(txnsInFlight == 0);
     }
 
@@ -295,7 +297,7 @@
         for (Reservation r : reservations.values()) {
             r.clearing().leaving().forEach((start, grace) -> {
                 if (start.uid().equals(now.uid())) {
-                    stops.computeIfAbsent(start.uid(), u -> new HashMap<>()).put(start, grace);
+                    stop(start, grace);
                 }
             });
         }
@@ -351,7 +353,7 @@
         if (!broken && !stopping) {
             return next;
         }
-        double grace = broken ? 0 : now.spec().saveS() + 1;
+        double grace = broken ? 0 : now.spec().stopGraceS();
         Pipeline changed = next;
         for (Attempt a : List.copyOf(result.attempts())) {
             stop(now.uid(), a, grace);
@@ -374,13 +376,17 @@
         if (started && !spec.saves()) {
             return false;
         }
-        stop(job.uid(), attempt, spec.saves() ? spec.saveS() + 1 : 0);
+        stop(job.uid(), attempt, spec.stopGraceS());
         return true;
     }
 
     private void stop(String uid, Attempt attempt, double grace) {
         withNews.add(attempt.machine());
-        stops.computeIfAbsent(uid, u -> new HashMap<>()).put(Machine.Start.of(uid, attempt), grace);
+        stop(Machine.Start.of(uid, attempt), grace);
+    }
+
+    private void stop(Machine.Start start, double grace) {
+        stops.computeIfAbsent(start.uid(), u -> new HashMap<>()).put(start, grace);
     }
 
     private void exited(Pipeline next, Attempt attempt, Machine machine, TaskReport report) {
@@ -509,23 +515,24 @@
     /** Writes the changes in few transactions; what the budget does not carry is decided again next round. */
     private void write(List<Change> changes) {
         int allowance = state.changesLeft();
-        List<Change> batch = new ArrayList<>();
+        List<Write> batch = new ArrayList<>();
         int ops = 0;
         int bytes = 0;
         for (Change change : changes) {
-            int cost = over(change.next()) ? 2 : 1;
-            int size = over(change.next()) ? Constants.FINAL_BYTES
-                    : Json.bytes(change.next().encode()).length + Constants.FRAME_BYTES;
+            boolean over = over(change.next());
+            int cost = over ? 2 : 1;
             if (allowance < cost || txnsInFlight >= Constants.TXNS_IN_FLIGHT) {
                 break;
             }
+            ObjectNode value = over ? FinalRecord.of(change.next()).encode() : change.next().encode();
+            int size = over ? Constants.FINAL_BYTES : Json.bytes(value).length + Constants.FRAME_BYTES;
             if (ops + cost > settings.state().txnOps() || bytes + size > Constants.TXN_BYTES) {
                 send(batch, ops);
                 batch = new ArrayList<>();
                 ops = 0;
                 bytes = 0;
             }
-            batch.add(change);
+            batch.add(new Write(change, value));
             ops += cost;
             bytes += size;
             allowance -= cost;
@@ -535,22 +542,22 @@
         }
     }
 
-    private void send(List<Change> batch, int ops) {
+    private void send(List<Write> batch, int ops) {
         StateClient.Txn txn = new StateClient.Txn().require(Leadership.LEADER_KEY, leadership.keyVersion());
-        for (Change change : batch) {
+        for (Write write : batch) {
+            Change change = write.change();
             String uid = change.next().uid();
             txn.require(JOBS + uid, change.entry().version());
             if (over(change.next())) {
-                ObjectNode record = FinalRecord.of(change.next()).encode();
-                txn.delete(JOBS + uid).put(FINALS + uid, record);
+                txn.delete(JOBS + uid).put(FINALS + uid, write.value());
             } else {
-                txn.put(JOBS + uid, change.next().encode());
+                txn.put(JOBS + uid, write.value());
             }
             jobs.propose(change.entry(), change.next());
         }
         txnsInFlight++;
         state.force(ops);
-        commit(txn, batch, ops, term, false);
+        commit(txn, batch.stream().map(Write::change).toList(), ops, term, false);
     }
 
     /** {@code unsure}: an earlier copy got no answer, so it may have been applied, or may yet be. */
@@ -563,11 +570,9 @@
             if (fate == StateClient.Fate.UNKNOWN || unsure && fate == StateClient.Fate.REFUSED) {
                 // The very same one is applied once at most, for its conditions; it is sent until that is decided.
                 LOG.info("no answer to a transaction of {} jobs, sent again", batch.size());
-                loop.after(Constants.RETRY_MS, () -> {
-                    if (term == mine) {
-                        state.force(ops);
-                        commit(txn, batch, ops, mine, true);
-                    }
+                later(Constants.RETRY_MS, mine, () -> {
+                    state.force(ops);
+                    commit(txn, batch, ops, mine, true);
                 });
                 return;
             }
@@ -629,11 +634,7 @@
                 return;
             }
             if (!read.reached()) {
-                loop.after(Constants.RETRY_MS, () -> {
-                    if (term == mine) {
-                        reread(change, mine);
-                    }
-                });
+                later(Constants.RETRY_MS, mine, () -> reread(change, mine));
                 return;
             }
             jobs.abandoned(change.entry());
--- a/src/main/java/org/spoolline/state/StateClient.java
+++ b/src/main/java/org/spoolline/state/StateClient.java
@@ -166,7 +166,8 @@
 
     private void page(String prefix, String after, List<Item> items, long firstRevision, Consumer<Listing> done) {
         requests.force(1, loop.now());
-        String path = "/keys?prefix=" + prefix + (after.isEmpty() ? "" : "&after=" + after) + "&most=" + Constants.LIST_PAGE;
+        String path = "/keys?prefix=" + prefix + (after.isEmpty() ? "" : "&after=" + after) + "&most="
+                + Constants.LIST_PAGE;
         send("GET", path, null, Constants.STATE_TIMEOUT_MS, reply -> {
             if (!reply.ok()) {
                 done.accept(new Listing(false, List.of(), 0));
--- a/src/main/java/org/spoolline/workers/CheckIns.java
+++ b/src/main/java/org/spoolline/workers/CheckIns.java
@@ -45,8 +45,8 @@
     private boolean ready;
     private long lastHeardAt;
 
-    public CheckIns(Loop loop, Http.Caller http, long leaseMs, Leadership leadership, MachineTable machines, JobTable jobs, Wishes wishes,
-                    Runnable news) {
+    public CheckIns(Loop loop, Http.Caller http, long leaseMs, Leadership leadership,
+                    MachineTable machines, JobTable jobs, Wishes wishes, Runnable news) {
         this.loop = loop;
         this.http = http;
         this.leaseMs = leaseMs;
@@ -75,7 +75,7 @@
     public void handle(Http.Request request, Consumer<Http.Response> answer) {
         Report report = Report.parse(Json.read(request.body()));
         if (report == null) {
-            answer.accept(Http.Response.of(400, error("not a check-in")));
+            answer.accept(Http.Response.of(400, Json.error("not a check-in")));
             return;
         }
         lastHeardAt = loop.now();
@@ -87,7 +87,7 @@
         Machine machine = machines.meet(report.machine(), report.type(), report.zone(), report.spot(), loop.now());
         if (machine.gone()) {
             // Its attempts may have been started elsewhere: renewing its lease could bring a task to life twice.
-            answer.accept(new Http.Response(503, error("machine is gone"), 0));
+            answer.accept(new Http.Response(503, Json.error("machine is gone"), 0));
             return;
         }
         boolean first = !machine.heard();
@@ -97,7 +97,7 @@
             LOG.info("machine {} {} in {} is up, session {}", machine.name(), machine.type(), machine.zone(),
                     machine.session());
         }
-        Held held = new Held(machine, machine.tick(), newer, answer);
+        Held held = new Held(machine, newer, answer);
         Held older = waiting.remove(machine.name());
         if (older != null) {
             older.answer(false);
@@ -116,8 +116,8 @@
 
     private boolean bringsEnds(Machine machine) {
         Map<Machine.Start, Attempt> stored = jobs.on(machine.name());
-        return machine.tasks().values().stream().anyMatch(t -> t.phase() == TaskReport.Phase.EXITED
-                && stored.containsKey(new Machine.Start(t.uid(), t.task(), t.attempt())));
+        return machine.tasks().entrySet().stream().anyMatch(t -> t.getValue().phase() == TaskReport.Phase.EXITED
+                && stored.containsKey(t.getKey()));
     }
 
     /** Answers held reports of machines that have launches to carry out by now; with {@code all}, every one. */
@@ -143,17 +143,17 @@
         private final boolean newer;
         private final Consumer<Http.Response> answer;
 
-        Held(Machine machine, long tick, boolean newer, Consumer<Http.Response> answer) {
+        Held(Machine machine, boolean newer, Consumer<Http.Response> answer) {
             this.machine = machine;
             this.session = machine.session();
-            this.tick = tick;
+            this.tick = machine.tick();
             this.newer = newer;
             this.answer = answer;
         }
 
         void answer(boolean withOrders) {
             if (!leadership.mayKeepAlive() || machine.gone()) {
-                answer.accept(Http.Response.of(503, error("not leading any more")));
+                answer.accept(Http.Response.of(503, Json.error("not leading any more")));
                 return;
             }
             ObjectNode body = Json.object().put("baton", leadership.workerToken() + machine.nudges());
@@ -202,7 +202,7 @@
         String leader = leadership.knownLeader();
         LOG.debug("{} is sent on to {}", machine, leader);
         if (leader == null) {
-            answer.accept(Http.Response.of(503, error("no leader is known")));
+            answer.accept(Http.Response.of(503, Json.error("no leader is known")));
         } else {
             answer.accept(Http.Response.of(421, Json.bytes(Json.object().put("foreman", leader))));
         }
@@ -210,8 +210,9 @@
 
     private void give(Machine machine, ArrayNode orders) {
         Map<Machine.Start, Attempt> stored = jobs.on(machine.name());
-        for (TaskReport t : machine.tasks().values()) {
-            Machine.Start start = new Machine.Start(t.uid(), t.task(), t.attempt());
+        for (Map.Entry<Machine.Start, TaskReport> listed : machine.tasks().entrySet()) {
+            Machine.Start start = listed.getKey();
+            TaskReport t = listed.getValue();
             Attempt attempt = stored.get(start);
             boolean kept = attempt != null && attempt.session() == machine.session();
             if (t.phase() == TaskReport.Phase.EXITED) {
@@ -231,8 +232,7 @@
             Machine.Start start = e.getKey();
             if (orders.size() < Constants.MAX_ORDERS && e.getValue().session() == machine.session()
                     && !machine.tasks().containsKey(start) && grace(start, e.getValue()) == null
-                    && wishes.mayLaunch(start)
-                    && noOtherAttempt(machine, start)) {
+                    && wishes.mayLaunch(start) && noOtherAttempt(machine, start)) {
                 order(orders, "launch", start);
                 machine.launched(start);
                 LOG.debug("launch {}/{} attempt {} on {}", start.uid(), start.task(), start.attempt(),
@@ -264,8 +264,4 @@
         return orders.addObject().put("verb", verb).put("slip", start.uid() + "/" + start.task())
                 .put("try", start.attempt());
     }
-
-    private static byte[] error(String why) {
-        return Json.bytes(Json.object().put("error", why));
-    }
 }
--- a/src/main/java/org/spoolline/workers/Machine.java
+++ b/src/main/java/org/spoolline/workers/Machine.java
@@ -16,6 +16,10 @@
         public static Start of(String uid, Attempt attempt) {
             return new Start(uid, attempt.task(), attempt.number());
         }
+
+        static Start of(TaskReport report) {
+            return new Start(report.uid(), report.task(), report.attempt());
+        }
     }
 
     private static final long NEVER = -1;
@@ -181,16 +185,15 @@
         heardAt = now;
         Map<Start, TaskReport> listing = new HashMap<>();
         for (TaskReport t : report.tasks()) {
-            listing.put(new Start(t.uid(), t.task(), t.attempt()), t);
-            launchTicks.remove(new Start(t.uid(), t.task(), t.attempt()));
-        }
-        tasks = listing;
-        runningSince.keySet().retainAll(listing.keySet());
-        for (TaskReport t : report.tasks()) {
+            Start start = Start.of(t);
+            listing.put(start, t);
+            launchTicks.remove(start);
             if (t.phase() == TaskReport.Phase.RUNNING) {
-                runningSince.putIfAbsent(new Start(t.uid(), t.task(), t.attempt()), now);
+                runningSince.putIfAbsent(start, now);
             }
         }
+        tasks = listing;
+        runningSince.keySet().retainAll(listing.keySet());
         return true;
     }
 
