--- a/src/main/java/org/spoolline/cli/Main.java
+++ b/src/main/java/org/spoolline/cli/Main.java
@@ -139,7 +139,7 @@
             XnioIoThread thread = worker.getIoThread();
             DefaultByteBufferPool buffers = buffers();
             Controller controller = new Controller(settings, new XnioLoop(thread),
-                    new UndertowCaller(thread, buffers), new java.util.SplittableRandom());
+                    new UndertowCaller(thread, buffers, settings.idleConnections()), new java.util.SplittableRandom());
             listen(worker, buffers, settings.serveOn(), controller::serve);
             listen(worker, buffers, settings.internalAddress(), controller::servePeer);
             thread.execute(controller::start);
--- a/src/main/java/org/spoolline/cli/Rehearsal.java
+++ b/src/main/java/org/spoolline/cli/Rehearsal.java
@@ -87,7 +87,7 @@
         XnioIoThread thread = worker.getIoThread();
         DefaultByteBufferPool buffers = Main.buffers();
         loop = new XnioLoop(thread);
-        caller = new UndertowCaller(thread, buffers);
+        caller = new UndertowCaller(thread, buffers, settings.idleConnections());
         Controller controller = new Controller(settings, loop, caller, new SplittableRandom());
         UndertowServer.start(worker, buffers, settings.serveOn(), controller::serve);
         UndertowServer.start(worker, buffers, settings.internalAddress(), controller::servePeer);
--- a/src/main/java/org/spoolline/net/UndertowCaller.java
+++ b/src/main/java/org/spoolline/net/UndertowCaller.java
@@ -14,7 +14,8 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -31,11 +32,44 @@
 public final class UndertowCaller implements Http.Caller {
     private final XnioIoThread thread;
     private final ByteBufferPool buffers;
-    private final Map<String, Deque<ClientConnection>> idle = new HashMap<>();
+    private final int keep;
+    /** Idle connections by target; the target that was used longest ago comes first. */
+    private final Map<String, Deque<ClientConnection>> idle = new LinkedHashMap<>(16, 0.75f, true);
+    private int kept;
 
-    public UndertowCaller(XnioIoThread thread, ByteBufferPool buffers) {
+    /** Keeps at most {@code keep} idle connections: every worker is called now and then, and sockets are few. */
+    public UndertowCaller(XnioIoThread thread, ByteBufferPool buffers, int keep) {
         this.thread = thread;
         this.buffers = buffers;
+        this.keep = keep;
+    }
+
+    private ClientConnection take(String target) {
+        Deque<ClientConnection> pool = idle.get(target);
+        while (pool != null && !pool.isEmpty()) {
+            ClientConnection connection = pool.pop();
+            kept--;
+            if (connection.isOpen()) {
+                return connection;
+            }
+        }
+        return null;
+    }
+
+    private void keep(String target, ClientConnection connection) {
+        idle.computeIfAbsent(target, t -> new ArrayDeque<>()).push(connection);
+        kept++;
+        Iterator<Deque<ClientConnection>> eldest = idle.values().iterator();
+        while (kept > keep && eldest.hasNext()) {
+            Deque<ClientConnection> pool = eldest.next();
+            while (kept > keep && !pool.isEmpty()) {
+                IoUtils.safeClose(pool.pollLast());
+                kept--;
+            }
+            if (pool.isEmpty()) {
+                eldest.remove();
+            }
+        }
     }
 
     @Override
@@ -64,13 +98,10 @@
 
         void start(long timeoutMs) {
             timer = thread.executeAfter(this::fail, timeoutMs, TimeUnit.MILLISECONDS);
-            Deque<ClientConnection> pool = idle.get(target);
-            while (pool != null && !pool.isEmpty()) {
-                ClientConnection kept = pool.pop();
-                if (kept.isOpen()) {
-                    send(kept);
-                    return;
-                }
+            ClientConnection open = take(target);
+            if (open != null) {
+                send(open);
+                return;
             }
             UndertowClient.getInstance().connect(new ClientCallback<>() {
                 @Override
@@ -186,8 +217,8 @@
                 IoUtils.safeClose(connection);
             } else {
                 // Back to the pool only after the exchange has been wound up by its own stack frames.
-                ClientConnection kept = connection;
-                thread.execute(() -> idle.computeIfAbsent(target, t -> new ArrayDeque<>()).push(kept));
+                ClientConnection free = connection;
+                thread.execute(() -> keep(target, free));
             }
             done.accept(reply);
         }
--- a/src/main/java/org/spoolline/net/UndertowServer.java
+++ b/src/main/java/org/spoolline/net/UndertowServer.java
@@ -27,6 +27,7 @@
                 .setByteBufferPool(buffers)
                 .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
                 .setServerOption(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
+                .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, Constants.IDLE_CONNECTION_MS)
                 .setServerOption(UndertowOptions.RECORD_REQUEST_START_TIME, false)
                 .addHttpListener(Integer.parseInt(address.substring(colon + 1)), address.substring(0, colon),
                         exchange -> receive(exchange, handler))
--- a/src/main/java/org/spoolline/settings/Settings.java
+++ b/src/main/java/org/spoolline/settings/Settings.java
@@ -48,6 +48,11 @@
         return Math.min(Constants.LEADERSHIP_MS, (workers.cancelMs() - silenceMs()) / 2);
     }
 
+    /** Idle connections to others that are kept open: a share of the sockets, most of which the workers need. */
+    public int idleConnections() {
+        return Math.max(Constants.IDLE_CONNECTIONS_MIN, quota.sockets() / Constants.SOCKETS_PER_IDLE_CONNECTION);
+    }
+
     /** Ms between renewals of the leadership lease. */
     public long renewMs() {
         return Math.max(1, leadershipMs() / Constants.RENEWALS);
--- a/src/main/java/org/spoolline/state/StateClient.java
+++ b/src/main/java/org/spoolline/state/StateClient.java
@@ -111,7 +111,7 @@
     /** Sets this node's share of the budget. */
     public void leading(boolean leads) {
         double share = nodes == 1 ? 1 : leads ? Constants.LEADER_BUDGET_SHARE
-                : (1 - Constants.LEADER_BUDGET_SHARE) / (nodes - 1);
+                : Math.min(Constants.FOLLOWER_BUDGET_SHARE, 1.0 / (nodes - 1));
         requests.rate(limits.requestsPerS() * share, loop.now());
         changes.rate(limits.writesPerS() * share, loop.now());
     }
