--- a/src/main/java/org/spoolline/pipeline/AttemptsCodec.java
+++ b/src/main/java/org/spoolline/pipeline/AttemptsCodec.java
@@ -2,19 +2,22 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
-import java.io.ByteArrayOutputStream;
 import java.util.ArrayList;
 import java.util.Base64;
+import java.util.BitSet;
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.function.Consumer;
 import org.spoolline.net.Json;
 
 /**
- * The stored form of attempts, dense enough for a wide array over hundreds of machines within one value: sections of
- * machines that are named alike, each a prefix, the number of digits that follow it, and numbers of seven bits a byte in
- * Base64. A group is one machine, session and attempt number; its tasks are runs.
+ * The stored form of attempts, dense enough for an array whose tasks are scattered over a thousand machines. A place is
+ * a machine, session and attempt number; places come in sections of machines that are named alike (a prefix and so many
+ * digits), each place a few bits for its distance from the one before. Then come the tasks in their order: a few bits
+ * for the distance, and the place's index unless it is the one of the task before. Bits are stored in Base64.
  */
 final class AttemptsCodec {
     private static final int DIGITS_MOST = 9;
@@ -23,7 +26,7 @@
     private record Name(String prefix, int digits, int number) {
         static Name of(String machine) {
             int at = machine.length();
-            while (at > 0 && machine.length() - at < DIGITS_MOST && Character.digit(machine.charAt(at - 1), 10) >= 0
+            while (at > 0 && machine.length() - at < DIGITS_MOST && machine.charAt(at - 1) >= '0'
                     && machine.charAt(at - 1) <= '9') {
                 at--;
             }
@@ -41,130 +44,153 @@
         }
     }
 
-    private record Named(Name name, Attempt attempt) {
+    private record Place(Name name, String machine, long session, long number) {
+        static Place of(Attempt a) {
+            return new Place(Name.of(a.machine()), a.machine(), a.session(), a.number());
+        }
     }
 
+    private static final Comparator<Place> ORDER = Comparator.comparing((Place p) -> p.name().prefix())
+            .thenComparingInt(p -> p.name().digits()).thenComparingInt(p -> p.name().number())
+            .thenComparingLong(Place::session).thenComparingLong(Place::number);
+
     private AttemptsCodec() {
     }
 
     /** {@code last} is a number that no attempt's exceeds: numbers are stored by their distance to it. */
     static ArrayNode encode(Collection<Attempt> attempts, long last) {
-        List<Named> sorted = new ArrayList<>(attempts.size());
-        attempts.forEach(a -> sorted.add(new Named(Name.of(a.machine()), a)));
-        sorted.sort(Comparator.comparing((Named n) -> n.name().prefix()).thenComparingInt(n -> n.name().digits())
-                .thenComparingInt(n -> n.name().number()).thenComparingLong(n -> n.attempt().session())
-                .thenComparingLong(n -> n.attempt().number()).thenComparingInt(n -> n.attempt().task()));
-        ArrayNode sections = Json.array();
-        int at = 0;
-        while (at < sorted.size()) {
-            Name first = sorted.get(at).name();
-            ByteArrayOutputStream out = new ByteArrayOutputStream();
-            int machine = 0;
-            while (at < sorted.size() && sorted.get(at).name().alike(first)) {
-                int end = groupEnd(sorted, at);
-                Attempt any = sorted.get(at).attempt();
-                int number = sorted.get(at).name().number();
-                put(out, number - machine);
-                machine = number;
-                put(out, any.session());
-                put(out, last - any.number());
-                putRuns(out, sorted.subList(at, end));
-                at = end;
+        Map<Attempt, Place> placeOf = new HashMap<>();
+        Map<Place, Integer> index = new HashMap<>();
+        List<Attempt> byTask = new ArrayList<>(attempts);
+        byTask.sort(Comparator.comparingInt(Attempt::task));
+        for (Attempt a : byTask) {
+            Place place = Place.of(a);
+            placeOf.put(a, place);
+            index.put(place, 0);
+        }
+        List<Place> places = new ArrayList<>(index.keySet());
+        places.sort(ORDER);
+        ArrayNode all = Json.array();
+        for (int at = 0; at < places.size(); ) {
+            Name first = places.get(at).name();
+            Bits bits = new Bits();
+            int before = 0;
+            int from = at;
+            while (at < places.size() && places.get(at).name().alike(first)) {
+                Place place = places.get(at);
+                bits.number(place.name().number() - before);
+                bits.number(place.session() - 1);
+                bits.number(last - place.number());
+                before = place.name().number();
+                index.put(place, at++);
             }
-            sections.addArray().add(first.prefix()).add(first.digits())
-                    .add(Base64.getEncoder().withoutPadding().encodeToString(out.toByteArray()));
+            all.addArray().add(first.prefix()).add(first.digits()).add(at - from).add(bits.text());
         }
-        return sections;
-    }
-
-    private static int groupEnd(List<Named> sorted, int from) {
-        Attempt any = sorted.get(from).attempt();
-        int end = from + 1;
-        while (end < sorted.size() && sorted.get(end).attempt().machine().equals(any.machine())
-                && sorted.get(end).attempt().session() == any.session()
-                && sorted.get(end).attempt().number() == any.number()) {
-            end++;
+        int width = width(places.size());
+        Bits bits = new Bits();
+        int next = 0;
+        int here = -1;
+        for (Attempt a : byTask) {
+            bits.number(a.task() - next);
+            next = a.task() + 1;
+            int place = index.get(placeOf.get(a));
+            bits.flag(place == here);
+            if (place != here) {
+                bits.fixed(place, width);
+            }
+            here = place;
         }
-        return end;
+        all.add(byTask.size()).add(bits.text());
+        return all;
     }
 
-    /** A run is its distance from the run before, doubled, plus one when its length follows. */
-    private static void putRuns(ByteArrayOutputStream out, List<Named> group) {
-        List<int[]> runs = new ArrayList<>();
-        for (Named n : group) {
-            int task = n.attempt().task();
-            int[] run = runs.isEmpty() ? null : runs.get(runs.size() - 1);
-            if (run != null && run[0] + run[1] == task) {
-                run[1]++;
-            } else {
-                runs.add(new int[] {task, 1});
+    static void decode(JsonNode stored, long last, Consumer<Attempt> to) {
+        List<Attempt> places = new ArrayList<>();
+        int at = 0;
+        for (; stored.path(at).isArray(); at++) {
+            JsonNode section = stored.path(at);
+            Bits bits = new Bits(section.path(3).asText());
+            long machine = 0;
+            for (int left = section.path(2).asInt(); left > 0; left--) {
+                machine += bits.number();
+                long session = bits.number() + 1;
+                places.add(new Attempt(0, last - bits.number(),
+                        Name.text(section.path(0).asText(), section.path(1).asInt(), machine), session));
             }
         }
-        put(out, runs.size());
-        int before = 0;
-        for (int[] run : runs) {
-            put(out, (long) (run[0] - before) * 2 + (run[1] > 1 ? 1 : 0));
-            if (run[1] > 1) {
-                put(out, run[1]);
+        int width = width(places.size());
+        Bits bits = new Bits(stored.path(at + 1).asText());
+        int task = 0;
+        Attempt here = null;
+        for (int left = stored.path(at).asInt(); left > 0; left--) {
+            task += (int) bits.number();
+            if (!bits.flag()) {
+                here = places.get((int) bits.fixed(width));
             }
-            before = run[0] + run[1];
+            to.accept(new Attempt(task++, here.number(), here.machine(), here.session()));
         }
     }
 
-    private static void put(ByteArrayOutputStream out, long value) {
-        long rest = value;
-        while (rest >= 0x80) {
-            out.write((int) (rest & 0x7f | 0x80));
-            rest >>>= 7;
-        }
-        out.write((int) rest);
+    /** Bits that tell so many places apart. */
+    private static int width(int places) {
+        return 32 - Integer.numberOfLeadingZeros(Math.max(0, places - 1));
     }
 
-    static void decode(JsonNode sections, long last, Consumer<Attempt> to) {
-        for (JsonNode section : sections) {
-            new Reading(Base64.getDecoder().decode(section.path(2).asText()))
-                    .section(section.path(0).asText(), section.path(1).asInt(), last, to);
+    /** Bits written one after the other, or read so. */
+    private static final class Bits {
+        private final BitSet bits;
+        private int at;
+
+        Bits() {
+            bits = new BitSet();
         }
-    }
 
-    private static final class Reading {
-        private final byte[] in;
-        private int at;
+        Bits(String text) {
+            bits = BitSet.valueOf(Base64.getDecoder().decode(text));
+        }
 
-        Reading(byte[] in) {
-            this.in = in;
+        String text() {
+            return Base64.getEncoder().withoutPadding().encodeToString(bits.toByteArray());
         }
 
-        void section(String prefix, int digits, long last, Consumer<Attempt> to) {
-            long machine = 0;
-            while (at < in.length) {
-                machine += next();
-                String name = Name.text(prefix, digits, machine);
-                long session = next();
-                long number = last - next();
-                int task = 0;
-                for (long runs = next(); runs > 0; runs--) {
-                    long head = next();
-                    task += (int) (head / 2);
-                    for (long left = head % 2 == 1 ? next() : 1; left > 0; left--) {
-                        to.accept(new Attempt(task++, number, name, session));
-                    }
-                }
+        void flag(boolean bit) {
+            bits.set(at++, bit);
+        }
+
+        boolean flag() {
+            return bits.get(at++);
+        }
+
+        void fixed(long value, int width) {
+            for (int i = 0; i < width; i++) {
+                flag((value >>> i & 1) == 1);
             }
         }
 
-        private long next() {
+        long fixed(int width) {
             long value = 0;
-            for (int shift = 0; ; shift += 7) {
-                if (at >= in.length) {
-                    throw new IllegalArgumentException("stored attempts end in the middle");
-                }
-                byte b = in[at++];
-                value |= (long) (b & 0x7f) << shift;
-                if (b >= 0) {
-                    return value;
-                }
+            for (int i = 0; i < width; i++) {
+                value |= flag() ? 1L << i : 0;
+            }
+            return value;
+        }
+
+        /** A number from 0 in Elias gamma code: small ones, which most are, take a bit or three. */
+        void number(long value) {
+            int width = 63 - Long.numberOfLeadingZeros(value + 1);
+            for (int i = 0; i < width; i++) {
+                flag(true);
+            }
+            flag(false);
+            fixed(value + 1, width);
+        }
+
+        long number() {
+            int width = 0;
+            while (flag()) {
+                width++;
             }
+            return (1L << width | fixed(width)) - 1;
         }
     }
 }
--- a/src/main/java/org/spoolline/placement/Rounds.java
+++ b/src/main/java/org/spoolline/placement/Rounds.java
@@ -69,6 +69,8 @@
     private final Map<String, Set<Attempt>> unsettled = new HashMap<>();
     /** Since when a job's change has waited for the state budget. */
     private final Map<String, Long> unwrittenSince = new HashMap<>();
+    /** Jobs whose value has no room for more attempts, with the time until which their turn goes to others. */
+    private final Map<String, Long> fullUntil = new HashMap<>();
     private long sweptAt;
     private final Map<String, Reservation> reservations = new LinkedHashMap<>();
 
@@ -125,6 +127,7 @@
         heard.clear();
         unsettled.clear();
         unwrittenSince.clear();
+        fullUntil.clear();
         sweptAt = loop.now();
         load(token);
         tick(token);
@@ -485,6 +488,7 @@
     }
 
     private Picture picture(Map<String, Pipeline> working) {
+        fullUntil.values().removeIf(until -> until <= loop.now());
         Map<String, List<Attempt>> holding = new HashMap<>();
         Set<String> placeable = new HashSet<>();
         List<Pipeline> all = new ArrayList<>();
@@ -494,7 +498,7 @@
                 Set<Attempt> union = new HashSet<>(entry.confirmed().attempts());
                 union.addAll(entry.proposed().attempts());
                 holding.put(e.getKey(), List.copyOf(union));
-            } else if (mendable(e.getValue())) {
+            } else if (mendable(e.getValue()) && !fullUntil.containsKey(e.getKey())) {
                 placeable.add(e.getKey());
             }
             all.add(e.getValue());
@@ -544,6 +548,10 @@
                 next.withdraw(added.remove(added.size() - 1));
             }
         }
+        if (added.size() < placed.size()) {
+            // The room planned for it would stand empty round after round while others wait for it.
+            fullUntil.put(uid, loop.now() + Constants.VALUE_FULL_MS);
+        }
         if (spec.gang()) {
             afterMates.put(uid, atHand);
         }
--- a/src/main/java/org/spoolline/settings/Constants.java
+++ b/src/main/java/org/spoolline/settings/Constants.java
@@ -117,6 +117,8 @@
     public static final int JOIN_WINDOW = 8192;
     /** Share of the value limit that new placements may fill; completions need the rest. */
     public static final double VALUE_FILL = 0.85;
+    /** Ms for which a job whose value is full gets no more room: by then some of its tasks will have completed. */
+    public static final long VALUE_FULL_MS = 2_000;
     /** Ms of the first pause after a task failed; doubles with each further failure. */
     public static final long FAILURE_PAUSE_MS = 1_000;
     /** Doublings after which the pause stops growing. */
