Deaf machines, late copies of reports, cut-off leaders, quick restarts; added rules in the stories

A machine that does not hear answers is noticed by the token it fails to show, or by a lease that ends although it was answered; it gets no work until it proves hearing and is returned after a minute. A report that is not newer gets 503 and renews nothing. A leader without the state service sends each worker to look around once per half of its lease, so that it finds a new leader. A node takes over the key of its own earlier life. The stories' rules gain the 75 s without an answer, the share served by class, team and largest jobs, and largest jobs begun within 4 minutes, each shown to catch a service that breaks it.

--- a/src/main/java/org/spoolline/fleet/Fleet.java
+++ b/src/main/java/org/spoolline/fleet/Fleet.java
@@ -238,6 +238,7 @@
             // A new leader has heard nobody yet: machines that are long up must not look as if they never came.
             boolean neverCame = !m.heard() && now - Math.max(m.knownSince(), electedAt) > patience;
             boolean lost = m.heard() && now - m.heardAt() > Constants.LOST_MS;
+            boolean deaf = m.deaf() && now - m.deafSince() > Constants.LOST_MS;
             if (holdsWork.test(m.name())) {
                 m.busyAt(now);
                 continue;
@@ -245,9 +246,11 @@
             boolean idle = m.heard() && now - m.idleSince() > (m.spot() ? settings.operator().idleSpotMs()
                     : settings.operator().idleMs())
                     && now - m.knownSince() > Constants.MIN_CHARGE_MS;
-            if (neverCame || lost || idle || m.draining() && m.heard()) {
-                LOG.info("return {}: {}", m.name(), neverCame ? "never came up" : lost ? "lost" : idle ? "idle"
-                        : "drained");
+            if (neverCame || lost || deaf || idle || m.draining() && m.heard()) {
+                if (!m.draining()) {
+                    LOG.info("return {}: {}", m.name(), neverCame ? "never came up" : lost ? "lost" : deaf ? "deaf"
+                            : "idle");
+                }
                 m.drain();
                 back.add(m);
             }
@@ -272,12 +275,15 @@
                     if (term != mine) {
                         return;
                     }
-                    for (Machine m : some) {
-                        if (reply.ok()) {
-                            m.markGone();
-                        } else {
-                            returning.remove(m.name());
-                        }
+                    if (reply.ok()) {
+                        some.forEach(Machine::markGone);
+                    } else {
+                        // An outage of the cloud is not shortened by asking in every round.
+                        loop.after(Constants.RETRY_MS * 2, () -> {
+                            if (term == mine) {
+                                some.forEach(m -> returning.remove(m.name()));
+                            }
+                        });
                     }
                     news.run();
                 });
--- a/src/main/java/org/spoolline/leadership/Leadership.java
+++ b/src/main/java/org/spoolline/leadership/Leadership.java
@@ -141,25 +141,35 @@
             }
             if (!read.reached()) {
                 loop.after(Constants.RETRY_MS + random.nextLong(Constants.STAND_SPREAD_MS), this::observe);
-            } else if (read.item().exists()) {
+            } else if (read.item().exists() && !mayTakeOver(read.item().value())) {
                 follow(read.item().value(), read.item().version());
             } else {
                 knownLeader = null;
+                long held = read.item().version();
                 if (loop.now() < mayStandAt) {
                     loop.after(Constants.RETRY_MS, this::observe);
                 } else {
-                    loop.after(random.nextLong(Constants.STAND_SPREAD_MS), this::stand);
+                    loop.after(random.nextLong(Constants.STAND_SPREAD_MS), () -> stand(held));
                 }
             }
         });
     }
 
+    /**
+     * The key of this node's own earlier life, or of an election of its own that got no answer: nobody leads with it, so
+     * its lease need not be waited for. The election replaces just that version, and the new token and the wait for
+     * former leaders' answers hold as after any other leader.
+     */
+    private boolean mayTakeOver(JsonNode leader) {
+        return leader.path("node").asText().equals(settings.node()) && loop.now() >= mayStandAt;
+    }
+
     private void follow(JsonNode value, long version) {
         String node = value.path("node").asText();
         if (!node.equals(knownLeader)) {
             LOG.info("leader is {} with token {}", node, value.path("token").asLong());
         }
-        // Our own key of an earlier life still holds the place until its lease ends: nobody leads meanwhile.
+        // Our own key, left to its end after giving way: nobody leads meanwhile.
         knownLeader = node.equals(settings.node()) ? null : node;
         knownToken = Math.max(knownToken, value.path("token").asLong());
         state.watch(LEADER_KEY, version, watched -> {
@@ -175,7 +185,8 @@
         });
     }
 
-    private void stand() {
+    /** {@code held} is the version of our own earlier key that the election replaces, or 0. */
+    private void stand(long held) {
         if (leading || standing) {
             return;
         }
@@ -195,22 +206,21 @@
                     return;
                 }
                 long next = read.item().exists() ? read.item().value().path("n").asLong() + 1 : 1;
-                elect(fresh, sent, next, read.item().version());
+                elect(fresh, sent, next, read.item().version(), held);
             });
         });
     }
 
-    private void elect(long fresh, long leaseSent, long next, long tokenVersion) {
+    private void elect(long fresh, long leaseSent, long next, long tokenVersion, long held) {
         ObjectNode leader = Json.object().put("node", settings.node()).put("addr", settings.internalAddress())
                 .put("token", next);
-        StateClient.Txn txn = new StateClient.Txn().require(LEADER_KEY, 0).require(TOKEN_KEY, tokenVersion)
+        StateClient.Txn txn = new StateClient.Txn().require(LEADER_KEY, held).require(TOKEN_KEY, tokenVersion)
                 .put(TOKEN_KEY, Json.object().put("n", next)).putLeased(LEADER_KEY, leader, fresh);
         state.force(2);
         state.commit(txn, outcome -> {
             standing = false;
             if (outcome.fate() != StateClient.Fate.APPLIED) {
-                // An election without an answer may have been applied: the key then names us, with nobody leading,
-                // until its lease ends. That is waited for in follow().
+                // An election without an answer may have been applied: the key then names us, with nobody leading.
                 loop.after(outcome.fate() == StateClient.Fate.CONFLICT ? 0 : Constants.RETRY_MS, this::observe);
                 return;
             }
--- a/src/main/java/org/spoolline/placement/Rounds.java
+++ b/src/main/java/org/spoolline/placement/Rounds.java
@@ -505,7 +505,7 @@
         }
         List<Machine> usable = new ArrayList<>();
         for (Machine m : machines.all()) {
-            if (!m.gone() && !m.draining() && m.heard() && m.noticeS() == null
+            if (!m.gone() && !m.draining() && m.heard() && !m.deaf() && m.noticeS() == null
                     && loop.now() - m.heardAt() < Constants.QUIET_MS) {
                 usable.add(m);
             }
--- a/src/main/java/org/spoolline/settings/Constants.java
+++ b/src/main/java/org/spoolline/settings/Constants.java
@@ -81,6 +81,8 @@
     /** Ms between rounds without any event: time alone (silence, idleness) is evidence too. */
     public static final long ROUND_IDLE_MS = 1_000;
 
+    /** Answers in a row that a machine did not hear before it counts as deaf: one may be lost on any network. */
+    public static final int UNHEARD_ANSWERS = 2;
     /** Bits of a worker's token that count nudges: a million nudges of one worker under one leader. */
     public static final int NUDGE_BITS = 20;
     /** Ms a nudge may take; without an answer the regular report does its work. */
--- a/src/main/java/org/spoolline/workers/CheckIns.java
+++ b/src/main/java/org/spoolline/workers/CheckIns.java
@@ -78,9 +78,9 @@
             answer.accept(Http.Response.of(400, Json.error("not a check-in")));
             return;
         }
-        lastHeardAt = loop.now();
         leadership.workerSawToken(report.token());
         if (!leadership.mayKeepAlive()) {
+            lastHeardAt = loop.now();
             redirect(report.machine(), answer);
             return;
         }
@@ -90,25 +90,36 @@
             answer.accept(new Http.Response(503, Json.error("machine is gone"), 0));
             return;
         }
+        if (!leadership.valid() && machine.looksAround(loop.now(), leaseMs / 2)) {
+            // Without the state service nobody here can tell an outage from a cut. A worker that asks the others and
+            // comes back has found no new leader; one that stays away has, and need not wait for our time to end.
+            answer.accept(Http.Response.of(503, Json.error("no contact with the state service")));
+            return;
+        }
         boolean first = !machine.heard();
-        Machine.Brings brings = machine.accept(report, loop.now());
-        boolean newer = brings != Machine.Brings.NOTHING;
+        Machine.Brings brings = machine.accept(report, leaseMs, loop.now());
+        if (brings == Machine.Brings.NOTHING) {
+            // A late copy: the worker has long gone on, so the answer reaches nobody. It renews nothing.
+            answer.accept(Http.Response.of(503, Json.error("an older report")));
+            return;
+        }
+        lastHeardAt = loop.now();
         if (first) {
             machine.busyAt(loop.now());
             LOG.info("machine {} {} in {} is up, session {}", machine.name(), machine.type(), machine.zone(),
                     machine.session());
         }
-        Held held = new Held(machine, newer, answer);
+        Held held = new Held(machine, answer);
         Held older = waiting.remove(machine.name());
         if (older != null) {
             older.answer(false);
         }
-        if (newer && (first || bringsEnds(machine)) && leadership.valid()) {
+        if ((first || bringsEnds(machine)) && leadership.valid()) {
             // Room has come free: the next task's launch is only a commit away, the next report seconds.
             waiting.put(machine.name(), held);
             loop.after(Constants.HOLD_MS, () -> release(held));
         } else {
-            held.answer(newer);
+            held.answer(true);
         }
         if (brings == Machine.Brings.NEWS) {
             news.accept(machine);
@@ -141,14 +152,12 @@
         private final Machine machine;
         private final long session;
         private final long tick;
-        private final boolean newer;
         private final Consumer<Http.Response> answer;
 
-        Held(Machine machine, boolean newer, Consumer<Http.Response> answer) {
+        Held(Machine machine, Consumer<Http.Response> answer) {
             this.machine = machine;
             this.session = machine.session();
             this.tick = machine.tick();
-            this.newer = newer;
             this.answer = answer;
         }
 
@@ -157,13 +166,14 @@
                 answer.accept(Http.Response.of(503, Json.error("not leading any more")));
                 return;
             }
-            ObjectNode body = Json.object().put("baton", leadership.workerToken() + machine.nudges());
+            long token = leadership.workerToken() + machine.nudges();
+            ObjectNode body = Json.object().put("baton", token);
             ArrayNode orders = body.putArray("orders");
-            if (withOrders && newer && ready && leadership.valid() && machine.session() == session
+            if (withOrders && ready && leadership.valid() && machine.session() == session
                     && machine.tick() == tick) {
                 give(machine, orders);
             }
-            machine.answered(loop.now());
+            machine.answered(token, loop.now());
             answer.accept(Http.Response.of(200, Json.bytes(body)));
         }
     }
--- a/src/main/java/org/spoolline/workers/Machine.java
+++ b/src/main/java/org/spoolline/workers/Machine.java
@@ -43,6 +43,10 @@
     private Double noticeS;
     private long heardAt = -1;
     private long answeredAt = -1;
+    private long shownToken;
+    private int unheard;
+    private long deafSince = NEVER;
+    private long lookedAroundAt = Long.MIN_VALUE / 2;
     private long nudges;
     private long nudgedAt = Long.MIN_VALUE / 2;
     private boolean gone;
@@ -113,8 +117,63 @@
         return answeredAt;
     }
 
-    public void answered(long now) {
+    /** Notes that the newest report was answered, and which token the answer showed. */
+    public void answered(long token, long now) {
         answeredAt = now;
+        shownToken = token;
+    }
+
+    /** True when its reports come but answers to them don't arrive: no launch would. */
+    public boolean deaf() {
+        return deafSince >= 0;
+    }
+
+    /** Since when it is deaf, or -1. */
+    public long deafSince() {
+        return deafSince;
+    }
+
+    /**
+     * Only one report is in flight, so one that does not show the token of the answer before has not heard it; and a
+     * lease that ended although we answered tells the same. From then on only a token not shown before proves hearing.
+     */
+    private void listen(Report report, long leaseMs, long now) {
+        if (answeredAt < 0) {
+            return;
+        }
+        if (report.session() > session) {
+            if (now - answeredAt < leaseMs) {
+                turnDeaf(now);
+            }
+        } else if (report.token() < shownToken) {
+            unheard++;
+            if (unheard >= Constants.UNHEARD_ANSWERS) {
+                turnDeaf(now);
+            }
+        } else if (shownToken > reportedToken) {
+            unheard = 0;
+            deafSince = NEVER;
+        }
+    }
+
+    private void turnDeaf(long now) {
+        unheard = 0;
+        nudges++;
+        if (deafSince < 0) {
+            deafSince = now;
+        }
+    }
+
+    /**
+     * True when a worker should ask the other controllers before it is answered here: once a period, so that it
+     * neither misses a new leader nor loses its lease.
+     */
+    boolean looksAround(long now, long periodMs) {
+        if (now - lookedAroundAt <= periodMs) {
+            return false;
+        }
+        lookedAroundAt = now;
+        return true;
     }
 
     /** True once the machine and everything on it is proven gone. */
@@ -180,10 +239,11 @@
     public enum Brings { NOTHING, A_SIGN_OF_LIFE, NEWS }
 
     /** Takes a report over if it is newer than what is known; late ones change nothing. */
-    public Brings accept(Report report, long now) {
+    public Brings accept(Report report, long leaseMs, long now) {
         if (!report.newerThan(session, tick)) {
             return Brings.NOTHING;
         }
+        listen(report, leaseMs, now);
         boolean same = report.session() == session && report.token() == reportedToken && noticeS == null
                 && report.noticeS() == null;
         if (report.session() > session) {
--- a/src/test/java/org/spoolline/world/Rules.java
+++ b/src/test/java/org/spoolline/world/Rules.java
@@ -6,10 +6,13 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 
 /** The rules of PROTOCOL, checked on what tasks and answers really did, with no look into the controllers. */
 public final class Rules {
     private static final long CANCEL_MS = 46_000;
+    private static final long UNANSWERED_MS = 75_000;
+    private static final long LARGEST_BEGIN_MS = 240_000;
 
     private final World world;
     private final List<String> broken = new ArrayList<>();
@@ -18,6 +21,8 @@
     private final Map<String, Long> cancelledAt = new HashMap<>();
     private final Map<String, String> finalWord = new HashMap<>();
     private final Map<String, Long> finalSince = new HashMap<>();
+    private final Map<String, Long> firstStart = new HashMap<>();
+    private final Set<String> unanswered = new HashSet<>();
     private int starts;
 
     Rules(World world) {
@@ -38,6 +43,7 @@
 
     void started(FakeWorker.Task task) {
         starts++;
+        firstStart.putIfAbsent(task.uid, world.now());
         Users.Job job = world.users.job(task.uid);
         if (job == null) {
             breaks("invented", task.slip());
@@ -132,6 +138,48 @@
         }
     }
 
+    /** From here on nothing troubles the service: it has to answer about every job. */
+    public void troublesAreOver() {
+        watch(world.now());
+    }
+
+    private void watch(long since) {
+        for (Users.Job job : world.users.jobs()) {
+            if (job.accepted() && world.now() - Math.max(since, job.answeredAt()) > UNANSWERED_MS
+                    && unanswered.add(job.uid())) {
+                breaks("forgotten", "nobody answers about " + job.uid());
+            }
+        }
+        world.at(1_000, () -> watch(since));
+    }
+
+    /** At a day's end: of each class, each team and each class's largest jobs at least half is served. */
+    public void dayIsOver() {
+        Map<String, List<Users.Job>> groups = new TreeMap<>();
+        Map<String, Integer> largest = new HashMap<>();
+        world.users.jobs().forEach(j -> largest.merge(j.jobClass(), j.tasks(), Math::max));
+        for (Users.Job job : world.users.jobs()) {
+            if (!job.accepted() || job.cancelAsked() || job.isFaulty()) {
+                continue;
+            }
+            groups.computeIfAbsent("class " + job.jobClass(), g -> new ArrayList<>()).add(job);
+            groups.computeIfAbsent("team " + job.team(), g -> new ArrayList<>()).add(job);
+            if (job.tasks() == largest.get(job.jobClass())) {
+                groups.computeIfAbsent("largest of " + job.jobClass(), g -> new ArrayList<>()).add(job);
+                long began = firstStart.getOrDefault(job.uid(), Long.MAX_VALUE);
+                if (began - job.submittedAt() > LARGEST_BEGIN_MS) {
+                    breaks("begun_late", job.uid() + ", a largest of " + job.jobClass());
+                }
+            }
+        }
+        groups.forEach((group, jobs) -> {
+            long served = jobs.stream().filter(j -> completedCount(j.uid()) >= j.tasks()).count();
+            if (served * 2 < jobs.size()) {
+                breaks("unserved", group + ": " + served + " of " + jobs.size());
+            }
+        });
+    }
+
     void forgotten(String uid, int status) {
         breaks("forgotten", uid + " got " + status);
     }
--- a/src/test/java/org/spoolline/world/StoriesTest.java
+++ b/src/test/java/org/spoolline/world/StoriesTest.java
@@ -17,6 +17,9 @@
 class StoriesTest {
     private static final int SEEDS = Integer.getInteger("stories.seeds", 4);
 
+    /** Seconds without trouble at the end of each day. */
+    private static final double CALM_S = 150;
+
     private interface Trouble {
         void strike(World world);
     }
@@ -32,7 +35,9 @@
             }
             world.run(40);
             trouble.strike(world);
+            world.at((long) (1_000 * Math.max(0, seconds - CALM_S)), world.rules::troublesAreOver);
             world.run(seconds);
+            world.rules.dayIsOver();
             assertEquals(List.of(), world.rules.broken(), "seed " + seed);
             for (Users.Job job : jobs) {
                 assertTrue(job.status().equals("done") || job.status().equals("aborted"),
@@ -229,6 +234,153 @@
         });
     }
 
+    /** Answered reports once kept such a machine in use: its tasks were placed there again at each lease's end. */
+    @Test
+    void reportsArriveButAnswersAndCommandsDoNotReachTheMachine() {
+        day(400, world -> {
+            FakeWorker worker = busy(world);
+            world.cutOneWay("node-0", worker.name, World.Cut.LOSE);
+            world.cutOneWay("node-1", worker.name, World.Cut.LOSE);
+            world.cutOneWay("node-2", worker.name, World.Cut.LOSE);
+            // Launches that the machine did not hear are given to others after one lease, not again and again.
+            world.at(45_000, () -> world.users.submit(jobOf(world, 0)));
+            world.at(240_000, () -> assertTrue(worker.dead(), "a machine that hears nobody is returned"));
+        });
+    }
+
+    @Test
+    void aMachineHearsNobodyForAWhileAndIsUsedAgain() {
+        day(300, world -> {
+            FakeWorker worker = busy(world);
+            for (String node : List.of("node-0", "node-1", "node-2")) {
+                world.cutOneWay(node, worker.name, World.Cut.HOLD);
+                world.at(30_000, () -> world.cutOneWay(node, worker.name, World.Cut.NONE));
+            }
+        });
+    }
+
+    /** Late copies prove nothing and renew nothing, also when a new leader hears them first. */
+    @Test
+    void copiesOfReportsArriveLate() {
+        day(400, world -> {
+            world.copyReports(45_000);
+            world.at(15_000, () -> busy(world).die());
+            world.at(30_000, () -> world.crashFor(leader(world), 4));
+            world.at(60_000, () -> world.cloud.take(busy(world).name));
+            world.at(75_000, () -> world.crashFor(leader(world), 0.3));
+            world.at(110_000, () -> world.copyReports(0));
+        });
+    }
+
+    @Test
+    void copiesOfReportsOfAHangingMachineArriveAfterItsLease() {
+        day(400, world -> {
+            world.copyReports(30_000);
+            busy(world).hang(25);
+            world.at(40_000, () -> busy(world).hang(9));
+            world.at(90_000, () -> world.copyReports(0));
+        });
+    }
+
+    @Test
+    void aProcessIsBackWithinAFractionOfASecondInTheMiddleOfAnElection() {
+        day(300, world -> {
+            String first = leader(world);
+            world.crash(first);
+            for (int i = 0; i < 12; i++) {
+                // Around the end of the lease, when the others stand.
+                String node = "node-" + i % 3;
+                world.at(4_000 + i * 170L, () -> world.crashFor(node, 0.1));
+            }
+            world.at(9_000, () -> world.startNode(first));
+        });
+    }
+
+    /** A node that was back at once had to wait for the lease of its own earlier life. */
+    @Test
+    void aLeaderThatIsBackAtOnceNeedNotWaitForItself() {
+        World world = new World(8);
+        world.run(12);
+        String leader = world.leader();
+        long token = world.state.value("token").path("n").asLong();
+        world.crashFor(leader, 0.2);
+        world.run(2);
+        assertEquals(leader, world.leader());
+        assertTrue(world.state.value("token").path("n").asLong() > token);
+    }
+
+    /** The others' workers must not be kept from a new leader by one that has lost everything but them. */
+    @Test
+    void workersOfALeaderWithoutStateAndPeersFindTheNewOne() {
+        for (int seed = 1; seed <= SEEDS; seed++) {
+            World world = new World(seed);
+            world.run(3);
+            world.users.submit(world.users.job("blue", "batch", 6, 1, 200));
+            world.run(37);
+            String old = leader(world);
+            for (String other : List.of("node-0", "node-1", "node-2", "state")) {
+                if (!other.equals(old)) {
+                    world.cut(old, other, World.Cut.LOSE);
+                }
+            }
+            world.run(14);
+            assertFalse(old.equals(world.leader()));
+            Users.Job next = world.users.job("red", "batch", 1, 1, 1);
+            world.users.submit(next);
+            world.run(14);
+            assertEquals("done", next.status(), "seed " + seed);
+            assertEquals(List.of(), world.rules.broken());
+        }
+    }
+
+    @Test
+    void aDeafMachineBesideLateCopiesAndALeaderThatLosesStateAndPeers() {
+        day(500, world -> {
+            world.copyReports(30_000);
+            FakeWorker worker = busy(world);
+            String old = leader(world);
+            for (String node : List.of("node-0", "node-1", "node-2")) {
+                world.cutOneWay(node, worker.name, World.Cut.LOSE);
+                if (!node.equals(old)) {
+                    world.cut(old, node, World.Cut.HOLD);
+                    world.at(40_000, () -> world.cut(old, node, World.Cut.NONE));
+                }
+            }
+            world.cut(old, "state", World.Cut.HOLD);
+            world.at(40_000, () -> world.cut(old, "state", World.Cut.NONE));
+            world.at(100_000, () -> world.copyReports(0));
+        });
+    }
+
+    /** Wide and narrow, urgent and not: nobody's largest job waits for a stream of small ones. */
+    @Test
+    void theLargestJobsBeginBesideAStreamOfSmallOnes() {
+        for (int seed = 1; seed <= SEEDS; seed++) {
+            World world = new World(seed, 16);
+            world.cloud.capacity = 20;
+            world.run(3);
+            for (int i = 0; i < 100; i++) {
+                int n = i;
+                world.at(i * 1_500L, () -> world.users.submit(world.users.job(n % 2 == 0 ? "blue" : "red", "batch", 6, 1,
+                        12).with("lane", "small").with("urgency", n % 3 == 0 ? "urgent" : "standard")));
+            }
+            world.at(10_000, () -> world.users.submit(world.users.job("blue", "group", 24, 7, 40).with("lane", "gang")
+                    .with("samePlace", true).with("urgency", "urgent").with("bookmarkS", 5.0)));
+            world.at(12_000, () -> world.users.submit(world.users.job("blue", "batch", 1_800, 1, 10)
+                    .with("lane", "wide")));
+            world.at(14_000, () -> world.users.submit(world.users.job("red", "group", 32, 16, 20).with("lane", "limit")
+                    .with("samePlace", false)));
+            world.run(280);
+            world.rules.troublesAreOver();
+            world.run(150);
+            world.rules.dayIsOver();
+            assertEquals(List.of(), world.rules.broken(), "seed " + seed);
+            for (Users.Job job : world.users.jobs()) {
+                assertEquals("done", job.status(), "seed " + seed + ": " + job.uid());
+            }
+        }
+    }
+
     @Test
     void aMachineLosesTheNetworkAndItsReportsArriveLate() {
         day(300, world -> {
@@ -400,6 +552,25 @@
         assertTrue(world.workers().values().stream().allMatch(FakeWorker::dead));
     }
 
+    /** A check that can't fail proves nothing: a scheduler that takes jobs and then does nothing must be caught. */
+    @Test
+    void theRulesCatchASchedulerThatServesNobody() {
+        World world = new World(5);
+        world.run(3);
+        world.users.submit(world.users.job("blue", "batch", 2, 1, 5).with("lane", "a"));
+        world.run(5);
+        world.replaceControllers((request, answer) -> answer.accept(new Http.Response(503, new byte[0], 1)));
+        world.rules.troublesAreOver();
+        world.run(260);
+        world.rules.dayIsOver();
+        for (String rule : List.of("forgotten", "begun_late", "unserved")) {
+            assertTrue(world.rules.broken().stream().anyMatch(b -> b.startsWith(rule)), rule);
+        }
+        for (String group : List.of("class a", "team blue", "largest of a")) {
+            assertTrue(world.rules.broken().stream().anyMatch(b -> b.contains(group + ": 0 of 1")), group);
+        }
+    }
+
     /** A check that can't fail proves nothing: a scheduler without any care must be caught. */
     @Test
     void theRulesCatchASchedulerThatBreaksThem() {
--- a/src/test/java/org/spoolline/world/Users.java
+++ b/src/test/java/org/spoolline/world/Users.java
@@ -25,12 +25,31 @@
         private boolean accepted;
         private boolean cancelAsked;
         private String status = "";
+        private long submittedAt = -1;
+        private long answeredAt = -1;
 
         Job(ObjectNode body, long runMs) {
             this.body = body;
             this.runMs = runMs;
         }
 
+        String jobClass() {
+            return body.path("lane").asText();
+        }
+
+        long submittedAt() {
+            return submittedAt;
+        }
+
+        /** When a question about it was last answered, or -1. */
+        long answeredAt() {
+            return answeredAt;
+        }
+
+        boolean isFaulty() {
+            return faulty;
+        }
+
         String uid() {
             return body.path("uid").asText();
         }
@@ -146,6 +165,7 @@
     public Job submit(Job job) {
         Http.Request request = new Http.Request("POST", "/submissions", "", Json.bytes(job.body));
         long asked = world.now();
+        job.submittedAt = job.submittedAt < 0 ? asked : job.submittedAt;
         ask(request, SUBMIT_MS, reply -> {
             if (reply.status() == 200 || reply.status() == 201) {
                 job.accepted = true;
@@ -195,6 +215,7 @@
     }
 
     private void hear(Job job, Http.Reply reply, long askedAt) {
+        job.answeredAt = world.now();
         JsonNode body = Json.read(reply.body());
         job.status = body.path("status").asText();
         world.rules.told(job.uid(), job.status, askedAt);
--- a/src/test/java/org/spoolline/world/World.java
+++ b/src/test/java/org/spoolline/world/World.java
@@ -63,6 +63,7 @@
     private long order;
     private Http.Handler rogue;
     private final int scale;
+    private long copiesUpToMs;
 
     public World(long seed) {
         this(seed, 1);
@@ -255,6 +256,9 @@
                 done.accept(new Http.Reply(response.status(), response.body()));
             }
         });
+        if (copiesUpToMs > 0 && request.path().equals("/checkin")) {
+            at(1_000 + random.nextLong(copiesUpToMs), () -> receive(target, host, request, late -> { }, () -> { }));
+        }
         deliver(from, host, () -> receive(target, host, request, reply, () -> {
             if (!over[0]) {
                 over[0] = true;
@@ -273,6 +277,19 @@
         }
     }
 
+    /** Disturbs one direction of a link only. */
+    public void cutOneWay(String from, String to, Cut how) {
+        cuts.put(from + "|" + to, how);
+        if (how == Cut.NONE) {
+            release(from + "|" + to);
+        }
+    }
+
+    /** From now on a second copy of each report arrives up to so much later; 0 ends it. */
+    public void copyReports(long upToMs) {
+        copiesUpToMs = upToMs;
+    }
+
     private Cut cutOf(String from, String to) {
         Cut single = cuts.getOrDefault(from + "|" + to, Cut.NONE);
         if (single != Cut.NONE) {
