--- a/src/main/java/org/spoolline/settings/Constants.java
+++ b/src/main/java/org/spoolline/settings/Constants.java
@@ -81,6 +81,8 @@
     /** Ms between rounds without any event: time alone (silence, idleness) is evidence too. */
     public static final long ROUND_IDLE_MS = 1_000;
 
+    /** Times per lease that a worker is sent to look for a new leader while we can't tell an outage from a cut. */
+    public static final int LOOKS_PER_LEASE = 4;
     /** Answers in a row that a machine did not hear before it counts as deaf: one may be lost on any network. */
     public static final int UNHEARD_ANSWERS = 2;
     /** Bits of a worker's token that count nudges: a million nudges of one worker under one leader. */
--- a/src/main/java/org/spoolline/workers/CheckIns.java
+++ b/src/main/java/org/spoolline/workers/CheckIns.java
@@ -90,7 +90,7 @@
             answer.accept(new Http.Response(503, Json.error("machine is gone"), 0));
             return;
         }
-        if (!leadership.valid() && machine.looksAround(loop.now(), leaseMs / 2)) {
+        if (!leadership.valid() && machine.looksAround(loop.now(), leaseMs / Constants.LOOKS_PER_LEASE)) {
             // Without the state service nobody here can tell an outage from a cut. A worker that asks the others and
             // comes back has found no new leader; one that stays away has, and need not wait for our time to end.
             answer.accept(Http.Response.of(503, Json.error("no contact with the state service")));
--- a/src/test/java/org/spoolline/world/FakeWorker.java
+++ b/src/test/java/org/spoolline/world/FakeWorker.java
@@ -110,6 +110,11 @@
         world.at((long) (seconds * 1000), () -> world.cloud.take(name));
     }
 
+    /** The node that it reports to now. */
+    String reportsTo() {
+        return List.copyOf(world.nodes.keySet()).get(target);
+    }
+
     boolean dead() {
         return dead;
     }
