Gangs keep machines that have their image; members are replaced only where it is at hand

Members that had fetched a large image gave up after gang_wait_s, their machines went to others, the replacements fetched again for a minute while the rest gave up in turn; a replacement on the same machine before it was cleared counted as ended at once, round after round; and a new leader knew of no image. Now such machines are kept for the gang, replacements go only where the image is or comes soon, otherwise the gang starts over as a whole, and images are learned from what runs.

Ruled out: lack of room (half of the machines were idle then). The new story fails with the old rounds.

--- a/src/main/java/org/spoolline/placement/Placer.java
+++ b/src/main/java/org/spoolline/placement/Placer.java
@@ -127,9 +127,13 @@
         if (spec.gang() && allowed < ready) {
             return;
         }
+        // Members that wait already would give up before one that fetches long is there; started over as a whole,
+        // those at hand are launched last.
+        boolean mending = spec.gang() && !held(job).isEmpty();
+        double mendS = picture.settings().workers().gangWaitMs() / 1000.0 * Constants.MEND_FETCH_SHARE;
         List<Node> fitting = new ArrayList<>();
         for (Node node : nodes) {
-            if (node.openTo(job) && node.fits(spec)) {
+            if (node.openTo(job) && node.fits(spec) && (!mending || node.fetchS(spec) <= mendS)) {
                 fitting.add(node);
             }
         }
--- a/src/main/java/org/spoolline/placement/Rounds.java
+++ b/src/main/java/org/spoolline/placement/Rounds.java
@@ -15,6 +15,7 @@
 import org.slf4j.LoggerFactory;
 import org.spoolline.fleet.Catalog;
 import org.spoolline.fleet.Fleet;
+import org.spoolline.fleet.MachineType;
 import org.spoolline.intake.FinalRecord;
 import org.spoolline.leadership.Leadership;
 import org.spoolline.net.Json;
@@ -74,8 +75,14 @@
     private long sweptAt;
     private final Map<String, Reservation> reservations = new LinkedHashMap<>();
 
-    /** Machines that are being cleared for a job. */
-    private record Reservation(Placer.Clearing clearing, long since) {
+    /** Machines that are being cleared for a job, or kept for a gang that has its image there. */
+    private record Reservation(Placer.Clearing clearing, long until) {
+        Reservation with(String machine, long atLeastUntil) {
+            Set<String> more = new LinkedHashSet<>(clearing.machines());
+            more.add(machine);
+            return new Reservation(new Placer.Clearing(clearing.uid(), more, clearing.leaving()),
+                    Math.max(until, atLeastUntil));
+        }
     }
 
     /** Who is told what the rounds have brought about. */
@@ -296,7 +303,7 @@
         }
         Placer.Plan plan = Placer.plan(picture(working));
         for (Placer.Clearing clearing : plan.clearings()) {
-            reservations.put(clearing.uid(), new Reservation(clearing, loop.now()));
+            reservations.put(clearing.uid(), new Reservation(clearing, loop.now() + Constants.RESERVED_MS));
             withNews.addAll(clearing.machines());
             clearing.leaving().forEach(this::stop);
             LOG.info("clearing {} for {}: {} tasks leave", clearing.machines(), clearing.uid(),
@@ -306,6 +313,7 @@
         lastBatch = changes.size();
         write(inOrder(changes));
         Set<String> coming = machinesWithWorkComing();
+        reservations.values().forEach(r -> coming.addAll(r.clearing().machines()));
         fleet.pass(plan.wants(), name -> jobs.anyOn(name) || coming.contains(name));
         tell(txnsInFlight == 0);
     }
@@ -313,12 +321,31 @@
     /** What machines have reported concerns their attempts; it is judged until a write has settled it. */
     private void noteNews() {
         for (Machine machine : heard) {
-            jobs.on(machine.name()).forEach((start, attempt) ->
-                    unsettled.computeIfAbsent(start.uid(), u -> new HashSet<>()).add(attempt));
+            jobs.on(machine.name()).forEach((start, attempt) -> {
+                unsettled.computeIfAbsent(start.uid(), u -> new HashSet<>()).add(attempt);
+                learnImage(machine, start);
+            });
         }
         heard.clear();
     }
 
+    /** A task that has got beyond its fetch shows that its image is there: a new leader knows of no other images. */
+    private void learnImage(Machine machine, Machine.Start start) {
+        TaskReport report = machine.tasks().get(start);
+        JobTable.Entry entry = jobs.get(start.uid());
+        if (report != null && entry != null && report.phase() != TaskReport.Phase.FETCHING
+                && report.phase() != TaskReport.Phase.EXITED && !machine.hasImage(entry.confirmed().spec().image())) {
+            useImage(machine, entry.confirmed().spec());
+        }
+    }
+
+    private void useImage(Machine machine, Submission spec) {
+        MachineType type = catalog.types().get(machine.type());
+        if (type != null) {
+            machine.useImage(spec.image(), spec.imageGb(), type.cacheGb());
+        }
+    }
+
     /** Gangs, and whatever is being stopped, depend on more than the reports about single attempts. */
     private boolean judgedWhole(JobTable.Entry entry) {
         return entry.confirmed().spec().gang() || entry.cancelled() || stops.containsKey(entry.confirmed().uid());
@@ -329,13 +356,13 @@
         reservations.values().removeIf(r -> {
             JobTable.Entry entry = jobs.get(r.clearing().uid());
             return entry == null || entry.cancelled() || started(entry.confirmed(), r.clearing())
-                    || loop.now() - r.since() > Constants.RESERVED_MS;
+                    || loop.now() > r.until();
         });
     }
 
-    /** A gang has started once it is placed; an array, once nobody has to leave for it any more. */
+    /** A gang has started once it is placed in full; an array, once nobody has to leave for it any more. */
     private boolean started(Pipeline job, Placer.Clearing clearing) {
-        return job.spec().gang() ? !job.attempts().isEmpty() : clearing.leaving().keySet().stream()
+        return job.spec().gang() ? job.attempts().size() == job.spec().tasks() : clearing.leaving().keySet().stream()
                 .noneMatch(start -> clearing.machines().stream().anyMatch(m -> jobs.on(m).containsKey(start)));
     }
 
@@ -481,12 +508,28 @@
             }
             case STOPPED, PEERS_GONE, ALONE -> {
                 next.lose(attempt);
+                if (report.cause() == TaskReport.Cause.ALONE) {
+                    keepPlace(next.spec(), machine);
+                }
                 LOG.info("{}/{} attempt {} ended on {}: {}{}", uid, attempt.task(), attempt.number(),
                         machine.name(), report.cause(), report.saved() ? ", saved" : "");
             }
         }
     }
 
+    /**
+     * A gang's task waited in vain for mates that still fetch a large image. Its machine has the image; given to others
+     * meanwhile, the gang would fetch again elsewhere and again wait in vain, by turns.
+     */
+    private void keepPlace(Submission spec, Machine machine) {
+        MachineType type = catalog.types().get(machine.type());
+        long until = loop.now() + Math.max(Constants.RESERVED_MS,
+                type == null ? 0 : (long) (spec.imageGb() / type.fetchGbPerS() * 1000));
+        Reservation kept = reservations.getOrDefault(spec.uid(),
+                new Reservation(new Placer.Clearing(spec.uid(), Set.of(), Map.of()), until));
+        reservations.put(spec.uid(), kept.with(machine.name(), until));
+    }
+
     private Picture picture(Map<String, Pipeline> working) {
         fullUntil.values().removeIf(until -> until <= loop.now());
         Map<String, List<Attempt>> holding = new HashMap<>();
@@ -516,10 +559,24 @@
                 loop.timeOfDay(), loop.now());
     }
 
-    /** A gang that lacks members is completed once those it has wait with their image, so that nobody waits long. */
+    /**
+     * A gang that lacks members is completed once those it has wait with their image, so that nobody waits long. A
+     * machine that still lists an ended member would take the same attempt's next launch for a repetition.
+     */
     private boolean mendable(Pipeline job) {
-        return !job.spec().gang() || job.attempts().stream()
-                .allMatch(a -> phase(Machine.Start.of(job.uid(), a), a) == TaskReport.Phase.GATHERING);
+        if (!job.spec().gang() || job.attempts().isEmpty()) {
+            return true;
+        }
+        Reservation kept = reservations.get(job.uid());
+        return job.attempts().stream()
+                .allMatch(a -> phase(Machine.Start.of(job.uid(), a), a) == TaskReport.Phase.GATHERING)
+                && (kept == null || kept.clearing().machines().stream().map(machines::get)
+                .noneMatch(m -> m != null && !m.gone() && listsEnded(m, job.uid())));
+    }
+
+    private static boolean listsEnded(Machine machine, String uid) {
+        return machine.tasks().values().stream().anyMatch(t -> t.phase() == TaskReport.Phase.EXITED
+                && t.uid().equals(uid));
     }
 
     private void place(String uid, List<Placer.Placement> placed, Map<String, Change> changes) {
@@ -537,8 +594,7 @@
             if (p.machine().hasImage(spec.image())) {
                 atHand.add(Machine.Start.of(uid, attempt));
             }
-            double cache = catalog.types().get(p.machine().type()).cacheGb();
-            p.machine().useImage(spec.image(), spec.imageGb(), cache);
+            useImage(p.machine(), spec);
         }
         // The value has a limit; what does not fit waits for the next rounds, and completions always fit.
         int limit = (int) (settings.state().valueBytes() * Constants.VALUE_FILL);
--- a/src/main/java/org/spoolline/settings/Constants.java
+++ b/src/main/java/org/spoolline/settings/Constants.java
@@ -96,6 +96,8 @@
     public static final double EPSILON = 1e-6;
     /** Seconds of an image fetch below which it does not matter where the image is. */
     public static final double SHORT_FETCH_S = 6;
+    /** Share of gang_wait_s that the fetch of a late member may take while the others wait for it. */
+    public static final double MEND_FETCH_SHARE = 0.5;
     /** Ms after which machines cleared for a job that has still not started there are given free again. */
     public static final long RESERVED_MS = 20_000;
 
--- a/src/test/java/org/spoolline/world/FakeWorker.java
+++ b/src/test/java/org/spoolline/world/FakeWorker.java
@@ -4,9 +4,11 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.spoolline.net.Http;
 import org.spoolline.net.Json;
@@ -15,7 +17,7 @@
 public final class FakeWorker {
     private static final long LEASE_MS = 16_000;
     private static final long ANSWER_MS = 4_000;
-    private static final long FETCH_MS = 500;
+    private static final long CACHED_MS = 50;
 
     /** One attempt here; {@code since} is when it began to run, or -1. */
     final class Task {
@@ -63,6 +65,7 @@
     final boolean spot;
     private final World world;
     private final Map<String, Task> tasks = new LinkedHashMap<>();
+    private final Set<String> images = new HashSet<>();
     private boolean dead;
     private boolean hung;
     private long shift = 1;
@@ -296,10 +299,12 @@
             return;
         }
         changed();
-        world.at(FETCH_MS, () -> {
+        String image = world.users.image(task.uid);
+        world.at(images.contains(image) ? CACHED_MS : world.users.fetchMs(task.uid), () -> {
             if (dead || !task.alive() || !tasks.containsValue(task)) {
                 return;
             }
+            images.add(image);
             world.rules.started(task);
             if (sick || world.users.faulty(task.uid)) {
                 task.phase = "running";
--- a/src/test/java/org/spoolline/world/StoriesTest.java
+++ b/src/test/java/org/spoolline/world/StoriesTest.java
@@ -381,6 +381,32 @@
         }
     }
 
+    /**
+     * Members that had their image gave up waiting for those that still fetched, lost their places to others, fetched
+     * again elsewhere, and the rest gave up in turn: such gangs once never started.
+     */
+    @Test
+    void gangsWithLargeImagesStartDespiteUnevenFetches() {
+        for (int seed = 1; seed <= SEEDS; seed++) {
+            World world = new World(seed, 4);
+            world.run(3);
+            List<Users.Job> gangs = new ArrayList<>();
+            for (int i = 0; i < 3; i++) {
+                gangs.add(world.users.submit(world.users.job("red", "group", 3, 7, 20).with("samePlace", true)
+                        .with("urgency", "urgent").with("plate", "large-" + i).with("imageGb", 75.0)));
+            }
+            for (int i = 0; i < 50; i++) {
+                world.at(20_000 + i * 5_000L, () -> world.users.submit(world.users.job("blue", "batch", 8, 4, 15)));
+            }
+            world.at(60_000, () -> world.crashFor(leader(world), 5));
+            world.run(300);
+            assertEquals(List.of(), world.rules.broken(), "seed " + seed);
+            for (Users.Job gang : gangs) {
+                assertEquals("done", gang.status(), "seed " + seed + ": " + gang.uid());
+            }
+        }
+    }
+
     @Test
     void aMachineLosesTheNetworkAndItsReportsArriveLate() {
         day(300, world -> {
--- a/src/test/java/org/spoolline/world/Users.java
+++ b/src/test/java/org/spoolline/world/Users.java
@@ -146,6 +146,16 @@
         return jobs.get(uid).body.path("bookmarkS").asDouble() > 0;
     }
 
+    String image(String uid) {
+        return jobs.get(uid).body.path("plate").asText();
+    }
+
+    /** Half the nominal time for the small images of most jobs; large ones differ by a third either way. */
+    long fetchMs(String uid) {
+        double ms = jobs.get(uid).body.path("imageGb").asDouble() * 1_000;
+        return (long) (ms > 1_000 ? ms * (0.67 + 0.67 * world.random.nextDouble()) : ms / 2);
+    }
+
     boolean faulty(String uid) {
         return jobs.get(uid).faulty;
     }
