--- a/src/main/java/org/spoolline/placement/Preemption.java
+++ b/src/main/java/org/spoolline/placement/Preemption.java
@@ -61,7 +61,8 @@
             Pipeline job = want.job();
             boolean urgentGang = urgentGang(job);
             if (!urgentGang && (job.spec().gang() || !want.withinGuarantee())
-                    || picture.reserved().containsValue(job.uid())) {
+                    || picture.reserved().containsValue(job.uid()) || urgentGang && !job.attempts().isEmpty()) {
+                // A gang that lacks members only would clear as many machines as all its tasks need.
                 continue;
             }
             if (!collected) {
