--- a/src/main/java/org/spoolline/net/UndertowServer.java
+++ b/src/main/java/org/spoolline/net/UndertowServer.java
@@ -6,11 +6,15 @@
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
+import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.util.Arrays;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.spoolline.settings.Constants;
+import org.xnio.IoUtils;
 import org.xnio.XnioWorker;
+import org.xnio.channels.StreamSourceChannel;
 
 /** Listens on one address and serves its handler on the worker's I/O thread. */
 public final class UndertowServer {
@@ -37,21 +41,51 @@
 
     private static void receive(HttpServerExchange exchange, Http.Handler handler) {
         if (exchange.getRequestContentLength() > Constants.MAX_BODY_BYTES) {
-            exchange.setPersistent(false);
-            send(exchange, Http.Response.of(400, Constants.BODY_TOO_LARGE));
+            refuse(exchange);
             return;
         }
         if (exchange.isRequestComplete()) {
             dispatch(exchange, new byte[0], handler);
             return;
         }
-        exchange.getRequestReceiver().setMaxBufferSize(Constants.MAX_BODY_BYTES);
-        exchange.getRequestReceiver().receiveFullBytes(
-                (x, body) -> dispatch(x, body, handler),
-                (x, e) -> {
-                    x.setPersistent(false);
-                    send(x, Http.Response.of(400, Constants.BODY_TOO_LARGE));
-                });
+        long length = exchange.getRequestContentLength();
+        ByteBuffer body = ByteBuffer.allocate(length >= 0 ? (int) length + 1 : Constants.READ_CHUNK_BYTES);
+        read(exchange, exchange.getRequestChannel(), body, handler);
+    }
+
+    /** Reads the body in bulk: Undertow's own receiver copies it byte by byte, half the cost of a check-in. */
+    private static void read(HttpServerExchange exchange, StreamSourceChannel source, ByteBuffer collected,
+                             Http.Handler handler) {
+        ByteBuffer body = collected;
+        try {
+            while (true) {
+                if (!body.hasRemaining()) {
+                    if (body.position() > Constants.MAX_BODY_BYTES) {
+                        refuse(exchange);
+                        return;
+                    }
+                    body = ByteBuffer.allocate(body.capacity() * 2).put(body.flip());
+                }
+                int read = source.read(body);
+                if (read < 0) {
+                    dispatch(exchange, Arrays.copyOf(body.array(), body.position()), handler);
+                    return;
+                }
+                if (read == 0) {
+                    ByteBuffer soFar = body;
+                    source.getReadSetter().set(ch -> read(exchange, source, soFar, handler));
+                    source.resumeReads();
+                    return;
+                }
+            }
+        } catch (IOException e) {
+            IoUtils.safeClose(exchange.getConnection());
+        }
+    }
+
+    private static void refuse(HttpServerExchange exchange) {
+        exchange.setPersistent(false);
+        send(exchange, Http.Response.of(400, Constants.BODY_TOO_LARGE));
     }
 
     private static void dispatch(HttpServerExchange exchange, byte[] body, Http.Handler handler) {
--- a/src/main/java/org/spoolline/placement/Rounds.java
+++ b/src/main/java/org/spoolline/placement/Rounds.java
@@ -42,6 +42,8 @@
     /** Prefix of lasting records of jobs that are over. */
     public static final String FINALS = "final/";
     private static final Logger LOG = LoggerFactory.getLogger(Rounds.class);
+    /** Rank of a change that only takes ends of some tasks over. */
+    private static final int ENDS_ONLY = 4;
 
     private final Loop loop;
     private final Settings settings;
@@ -311,11 +313,13 @@
         }
         plan.placements().forEach((uid, placed) -> place(uid, placed, changes));
         lastBatch = changes.size();
-        write(inOrder(changes));
+        List<Change> ordered = inOrder(changes);
+        boolean all = write(ordered) && ordered.size() == changes.size();
         Set<String> coming = machinesWithWorkComing();
         reservations.values().forEach(r -> coming.addAll(r.clearing().machines()));
         fleet.pass(plan.wants(), name -> jobs.anyOn(name) || coming.contains(name));
-        tell(txnsInFlight == 0);
+        // Reports whose launches wait for the state budget are held on: the next regular one is seconds away.
+        tell(txnsInFlight == 0 && all);
     }
 
     /** What machines have reported concerns their attempts; it is judged until a write has settled it. */
@@ -641,6 +645,10 @@
         unwrittenSince.keySet().retainAll(changes.keySet());
         List<Change> ordered = new ArrayList<>(changes.values());
         ordered.forEach(c -> unwrittenSince.putIfAbsent(c.next().uid(), now));
+        if (state.runsLow()) {
+            ordered.removeIf(c -> rank(c, now) == ENDS_ONLY
+                    && now - unwrittenSince.get(c.next().uid()) < Constants.ENDS_WAIT_MS);
+        }
         ordered.sort(Comparator.comparingInt((Change c) -> rank(c, now))
                 .thenComparingLong(c -> unwrittenSince.get(c.next().uid())));
         return ordered;
@@ -655,13 +663,14 @@
         if (starts && next.spec().priority().compareTo(Submission.Priority.URGENT) >= 0) {
             return 1;
         }
-        return over(next) ? 2 : starts ? 3 : 4;
+        return over(next) ? 2 : starts ? 3 : ENDS_ONLY;
     }
 
-    /** Writes the changes in few transactions; what the budget does not carry is decided again next round. */
-    private void write(List<Change> changes) {
+    /** Writes the changes in few transactions; false: the budget does not carry some, they are decided again. */
+    private boolean write(List<Change> changes) {
         int allowance = state.changesLeft();
         List<Write> batch = new ArrayList<>();
+        int written = 0;
         int ops = 0;
         int bytes = 0;
         for (Change change : changes) {
@@ -679,13 +688,16 @@
                 bytes = 0;
             }
             batch.add(new Write(change, value));
+            written++;
             ops += cost;
             bytes += size;
             allowance -= cost;
         }
         if (!batch.isEmpty() && txnsInFlight < Constants.TXNS_IN_FLIGHT) {
             send(batch, ops);
+            batch = List.of();
         }
+        return written == changes.size() && batch.isEmpty();
     }
 
     private void send(List<Write> batch, int ops) {
--- a/src/main/java/org/spoolline/settings/Constants.java
+++ b/src/main/java/org/spoolline/settings/Constants.java
@@ -61,6 +61,8 @@
      * submissions seldom meet a leader that spends its share, and a request refused by the service is tried again.
      */
     public static final double FOLLOWER_BUDGET_SHARE = 0.3;
+    /** Share of the changes a second that a leader's rounds leave for users' requests. */
+    public static final double USERS_RESERVE = 0.1;
     /** Bytes of one transaction that we fill at most: the protocol allows 64 KiB. */
     public static final int TXN_BYTES = 56 * 1024;
     /** Transactions in flight at once for the leader: keeps one slow answer from stopping the rounds. */
@@ -101,6 +103,8 @@
     /** Ms after which machines cleared for a job that has still not started there are given free again. */
     public static final long RESERVED_MS = 20_000;
 
+    /** Ms that single completions of an array may wait when the state budget runs low, to share one rewrite. */
+    public static final long ENDS_WAIT_MS = 1_000;
     /** Ms that a change may wait for the state budget before it goes first, whatever it is. */
     public static final long WRITE_PATIENCE_MS = 2_000;
     /** Ms between two rounds that judge every attempt: time alone proves silence, and nothing else marks it. */
--- a/src/main/java/org/spoolline/state/StateClient.java
+++ b/src/main/java/org/spoolline/state/StateClient.java
@@ -140,9 +140,16 @@
         return true;
     }
 
-    /** Changes that the budget holds right now. */
+    /** Changes that the budget holds right now for work that can wait; a part is kept for users' requests. */
     public int changesLeft() {
-        return (int) Math.max(0, Math.min(changes.left(loop.now()), requests.left(loop.now()) * limits.txnOps()));
+        double forUsers = limits.writesPerS() * Constants.USERS_RESERVE;
+        return (int) Math.max(0, Math.min(changes.left(loop.now()) - forUsers,
+                requests.left(loop.now()) * limits.txnOps()));
+    }
+
+    /** True when less than half of what the budget can hold is left. */
+    public boolean runsLow() {
+        return changesLeft() < limits.writesPerS() * Constants.LEADER_BUDGET_SHARE / 2;
     }
 
     /** Reads one key; budget is taken by the caller through {@link #admit}. */
