Urgent gangs clear machines that have their image instead of waiting for the slowest fetch

Where the work stopped loses less than the fetch takes on all members, such machines are now cleared, once per gang.

--- a/src/main/java/org/spoolline/placement/Node.java
+++ b/src/main/java/org/spoolline/placement/Node.java
@@ -9,8 +9,7 @@
 /** A machine that takes work, with its free room while a plan is made. */
 final class Node extends Room {
     final Machine machine;
-    /** The job for which this machine is being cleared, or null. */
-    final String reservedFor;
+    private String reservedFor;
 
     Node(Machine machine, MachineType type, String reservedFor) {
         super(type, machine.zone(), machine.spot());
@@ -18,6 +17,16 @@
         this.reservedFor = reservedFor;
     }
 
+    /** The job for which this machine is being cleared, or null. */
+    String reservedFor() {
+        return reservedFor;
+    }
+
+    /** From now on it takes no other job. */
+    void reserve(String uid) {
+        reservedFor = uid;
+    }
+
     /** True when the job may use this machine, room apart. */
     boolean openTo(Pipeline job) {
         return allows(job.spec()) && !job.avoids(machine.name())
--- a/src/main/java/org/spoolline/placement/Placer.java
+++ b/src/main/java/org/spoolline/placement/Placer.java
@@ -29,8 +29,11 @@
     public record Want(Pipeline job, int tasks, boolean withinGuarantee) {
     }
 
-    /** Machines to be cleared for a job, and the attempts that have to leave them, with the grace in seconds. */
-    public record Clearing(String uid, Set<String> machines, Map<Machine.Start, Double> leaving) {
+    /**
+     * Machines to be cleared for a job, and the attempts that have to leave them, with the grace in seconds. For a
+     * {@code warm} one the machines were chosen since they have the job's image.
+     */
+    public record Clearing(String uid, Set<String> machines, Map<Machine.Start, Double> leaving, boolean warm) {
     }
 
     /** What to start, what found no room, most urgent first, and what to clear for it. */
@@ -43,6 +46,7 @@
     private final Map<String, List<Placement>> placements = new LinkedHashMap<>();
     private final List<Want> wants = new ArrayList<>();
     private Set<String> within = Set.of();
+    private Preemption preemption;
 
     private Placer(Picture picture) {
         this.picture = picture;
@@ -76,13 +80,14 @@
         List<Pipeline> byRelease = new ArrayList<>(picture.jobs());
         byRelease.sort(Comparator.comparingLong(Pipeline::acceptedAt).thenComparing(Pipeline::uid));
         within = within(byRelease, picture.settings());
+        preemption = new Preemption(picture, nodes, within, teamUse);
         for (Pipeline job : inOrder(byRelease, within)) {
             if (job.finished() || job.cancelled()) {
                 continue;
             }
             place(job);
         }
-        return new Plan(placements, wants, new Preemption(picture, nodes, within, teamUse).clear(wants));
+        return new Plan(placements, wants, preemption.clear(wants));
     }
 
     private Collection<Attempt> held(Pipeline job) {
@@ -148,6 +153,10 @@
             chosen.forEach(n -> n.release(spec));
             chosen = List.of();
         }
+        if (!mending && Preemption.urgentGang(job) && waitsForWarmPlaces(job, chosen)) {
+            chosen.forEach(n -> n.release(spec));
+            return;
+        }
         List<Integer> tasks = job.ready(chosen.size());
         List<Placement> placed = new ArrayList<>();
         for (int i = 0; i < tasks.size(); i++) {
@@ -164,6 +173,16 @@
         }
     }
 
+    /** True when the gang had better start where its image is, on machines that are or will be cleared for it. */
+    private boolean waitsForWarmPlaces(Pipeline job, List<Node> chosen) {
+        double fetchS = chosen.stream().mapToDouble(n -> n.fetchS(job.spec())).max().orElse(0);
+        if (fetchS < Constants.SHORT_FETCH_S) {
+            return false;
+        }
+        return picture.warm().contains(job.uid()) ? picture.reserved().containsValue(job.uid())
+                : preemption.warm(job, fetchS);
+    }
+
     /** Machines for up to {@code count} tasks, room already taken, with the job's zone conditions kept. */
     private List<Node> choose(Pipeline job, List<Node> fitting, int count) {
         Submission spec = job.spec();
--- a/src/main/java/org/spoolline/placement/Preemption.java
+++ b/src/main/java/org/spoolline/placement/Preemption.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.spoolline.fleet.Room;
 import org.spoolline.pipeline.Attempt;
 import org.spoolline.pipeline.Pipeline;
@@ -44,19 +45,37 @@
     private boolean collected;
     private final Set<String> taken = new HashSet<>();
     private final Set<String> within;
+    private final Map<String, double[]> teamUse;
     /** Cores that a team uses beyond its guarantee, by team. */
     private final Map<String, Double> borrowed = new HashMap<>();
+    private final List<Placer.Clearing> clearings = new ArrayList<>();
 
     Preemption(Picture picture, List<Node> nodes, Set<String> within, Map<String, double[]> teamUse) {
         this.picture = picture;
         this.nodes = nodes;
         this.within = within;
-        picture.settings().teams().forEach((name, team) ->
-                borrowed.put(name, teamUse.getOrDefault(name, new double[2])[0] - team.cores()));
+        this.teamUse = teamUse;
     }
 
+    /**
+     * Clears machines that have the gang's image, rather than letting all its members wait for the slowest fetch on
+     * free ones. False where the stopped work would lose more than the fetch takes.
+     */
+    boolean warm(Pipeline job, double fetchS) {
+        collect(true);
+        List<Choice> chosen = choose(job, node -> node.machine.hasImage(job.spec().image()));
+        double lost = chosen.stream().mapToDouble(Choice::cost).sum();
+        if (chosen.isEmpty() || lost >= fetchS * job.spec().cores() * job.spec().tasks()) {
+            return false;
+        }
+        clearing(job, chosen, true);
+        return true;
+    }
+
+    /** What is to be cleared: for urgent gangs with their image at hand, as found before, and for the wants. */
     List<Placer.Clearing> clear(List<Placer.Want> wants) {
-        List<Placer.Clearing> clearings = new ArrayList<>();
+        picture.settings().teams().forEach((name, team) ->
+                borrowed.put(name, teamUse.getOrDefault(name, new double[2])[0] - team.cores()));
         for (Placer.Want want : wants) {
             Pipeline job = want.job();
             boolean urgentGang = urgentGang(job);
@@ -65,34 +84,39 @@
                 // A gang that lacks members only would clear as many machines as all its tasks need.
                 continue;
             }
-            if (!collected) {
-                collected = true;
-                collect(wants.stream().anyMatch(w -> urgentGang(w.job())));
+            collect(wants.stream().anyMatch(w -> urgentGang(w.job())));
+            List<Choice> chosen = urgentGang ? choose(job, node -> true) : room(job, want.tasks());
+            if (!chosen.isEmpty()) {
+                clearing(job, chosen, false);
             }
-            List<Choice> chosen = urgentGang ? choose(job) : room(job, want.tasks());
-            if (chosen.isEmpty()) {
-                continue;
-            }
-            Set<String> machines = new LinkedHashSet<>();
-            Map<Machine.Start, Double> leaving = new LinkedHashMap<>();
-            for (Choice c : chosen) {
-                machines.add(c.node().machine.name());
-                taken.add(c.node().machine.name());
-                for (Victim v : c.victims()) {
-                    leaving.put(Machine.Start.of(v.job().uid(), v.attempt()), v.job().spec().stopGraceS());
-                }
-            }
-            clearings.add(new Placer.Clearing(job.uid(), machines, leaving));
         }
         return clearings;
     }
 
-    private static boolean urgentGang(Pipeline job) {
+    private void clearing(Pipeline job, List<Choice> chosen, boolean warm) {
+        Set<String> machines = new LinkedHashSet<>();
+        Map<Machine.Start, Double> leaving = new LinkedHashMap<>();
+        for (Choice c : chosen) {
+            machines.add(c.node().machine.name());
+            taken.add(c.node().machine.name());
+            c.node().reserve(job.uid());
+            for (Victim v : c.victims()) {
+                leaving.put(Machine.Start.of(v.job().uid(), v.attempt()), v.job().spec().stopGraceS());
+            }
+        }
+        clearings.add(new Placer.Clearing(job.uid(), machines, leaving, warm));
+    }
+
+    static boolean urgentGang(Pipeline job) {
         return job.spec().gang() && job.spec().priority().compareTo(Submission.Priority.URGENT) >= 0;
     }
 
     /** Notes whoever might have to leave; without an urgent gang that is only savers beyond a guarantee. */
     private void collect(boolean forGangs) {
+        if (collected) {
+            return;
+        }
+        collected = true;
         for (Pipeline job : picture.jobs()) {
             // A gang would lose all its members for the room of one.
             if (job.spec().gang() && job.spec().tasks() > 1 || job.cancelled()
@@ -110,7 +134,7 @@
     }
 
     /** One machine for each task of the gang, all in one zone where the job says so; empty when that can't be. */
-    private List<Choice> choose(Pipeline job) {
+    private List<Choice> choose(Pipeline job, Predicate<Node> among) {
         Submission spec = job.spec();
         Set<String> zones = new LinkedHashSet<>();
         nodes.forEach(n -> zones.add(n.zone));
@@ -119,8 +143,8 @@
         for (String zone : zones) {
             List<Choice> choices = new ArrayList<>();
             for (Node node : nodes) {
-                if ((!spec.oneZone() || node.zone.equals(zone)) && node.openTo(job) && node.reservedFor == null
-                        && !taken.contains(node.machine.name())) {
+                if ((!spec.oneZone() || node.zone.equals(zone)) && node.openTo(job) && node.reservedFor() == null
+                        && !taken.contains(node.machine.name()) && among.test(node)) {
                     Choice choice = choice(job, node);
                     if (choice != null) {
                         choices.add(choice);
@@ -147,7 +171,7 @@
         List<Choice> choices = new ArrayList<>();
         int cleared = 0;
         for (Node node : nodes) {
-            if (cleared >= tasks || !victims.containsKey(node.machine.name()) || !node.openTo(job) || node.reservedFor != null || spec.oneZone() || spec.spread()
+            if (cleared >= tasks || !victims.containsKey(node.machine.name()) || !node.openTo(job) || node.reservedFor() != null || spec.oneZone() || spec.spread()
                     || taken.contains(node.machine.name())) {
                 continue;
             }
--- a/src/main/java/org/spoolline/placement/Rounds.java
+++ b/src/main/java/org/spoolline/placement/Rounds.java
@@ -76,13 +76,15 @@
     private final Map<String, Long> fullUntil = new HashMap<>();
     private long sweptAt;
     private final Map<String, Reservation> reservations = new LinkedHashMap<>();
+    /** Gangs for which machines with their image have been cleared: once each, so that none waits for long. */
+    private final Set<String> warm = new HashSet<>();
 
     /** Machines that are being cleared for a job, or kept for a gang that has its image there. */
     private record Reservation(Placer.Clearing clearing, long until) {
         Reservation with(String machine, long atLeastUntil) {
             Set<String> more = new LinkedHashSet<>(clearing.machines());
             more.add(machine);
-            return new Reservation(new Placer.Clearing(clearing.uid(), more, clearing.leaving()),
+            return new Reservation(new Placer.Clearing(clearing.uid(), more, clearing.leaving(), clearing.warm()),
                     Math.max(until, atLeastUntil));
         }
     }
@@ -133,6 +135,7 @@
         afterMates.clear();
         withNews.clear();
         reservations.clear();
+        warm.clear();
         heard.clear();
         unsettled.clear();
         unwrittenSince.clear();
@@ -306,6 +309,9 @@
         Placer.Plan plan = Placer.plan(picture(working));
         for (Placer.Clearing clearing : plan.clearings()) {
             reservations.put(clearing.uid(), new Reservation(clearing, loop.now() + Constants.RESERVED_MS));
+            if (clearing.warm()) {
+                warm.add(clearing.uid());
+            }
             withNews.addAll(clearing.machines());
             clearing.leaving().forEach(this::stop);
             LOG.info("clearing {} for {}: {} tasks leave", clearing.machines(), clearing.uid(),
@@ -530,7 +536,7 @@
         long until = loop.now() + Math.max(Constants.RESERVED_MS,
                 type == null ? 0 : (long) (spec.imageGb() / type.fetchGbPerS() * 1000));
         Reservation kept = reservations.getOrDefault(spec.uid(),
-                new Reservation(new Placer.Clearing(spec.uid(), Set.of(), Map.of()), until));
+                new Reservation(new Placer.Clearing(spec.uid(), Set.of(), Map.of(), false), until));
         reservations.put(spec.uid(), kept.with(machine.name(), until));
     }
 
@@ -559,7 +565,7 @@
         }
         Map<String, String> reserved = new HashMap<>();
         reservations.forEach((uid, r) -> r.clearing().machines().forEach(m -> reserved.put(m, uid)));
-        return new Picture(all, holding, placeable, machines.byName(), usable, reserved, catalog.types(), settings,
+        return new Picture(all, holding, placeable, machines.byName(), usable, reserved, warm, catalog.types(), settings,
                 loop.timeOfDay(), loop.now());
     }
 
@@ -765,6 +771,7 @@
             jobs.drop(next.uid(), revision);
             stops.remove(next.uid());
             afterMates.remove(next.uid());
+            warm.remove(next.uid());
         } else {
             jobs.applied(change.entry(), revision);
         }
