--- a/src/main/java/org/spoolline/cli/Main.java
+++ b/src/main/java/org/spoolline/cli/Main.java
@@ -132,7 +132,7 @@
         return new DefaultByteBufferPool(false, Constants.BUFFER_BYTES, Constants.BUFFERS_KEPT, 0);
     }
 
-    private static int serve(Settings settings) {
+    private static int serve(Settings settings) throws InterruptedException {
         Logger log = LoggerFactory.getLogger(Main.class);
         try {
             XnioWorker worker = worker();
@@ -140,11 +140,14 @@
             DefaultByteBufferPool buffers = buffers();
             Controller controller = new Controller(settings, new XnioLoop(thread),
                     new UndertowCaller(thread, buffers, settings.idleConnections()), new java.util.SplittableRandom());
+            log.info("{} is to serve users and workers on {}, controllers on {}", settings.node(), settings.serveOn(),
+                    settings.internalAddress());
             listen(worker, buffers, settings.serveOn(), controller::serve);
             listen(worker, buffers, settings.internalAddress(), controller::servePeer);
             thread.execute(controller::start);
-            log.info("{} serves users and workers on {}, controllers on {}", settings.node(), settings.serveOn(),
-                    settings.internalAddress());
+            // From here on the loop's thread is the only one that does anything; a virtual machine was seen to end in
+            // the C library's read while the thread that started it was still winding up.
+            worker.awaitTermination();
             return 0;
         } catch (IOException | RuntimeException e) {
             Throwable cause = rootOf(e);
