--- a/src/main/java/org/spoolline/pipeline/Submission.java
+++ b/src/main/java/org/spoolline/pipeline/Submission.java
@@ -32,6 +32,12 @@
         return saves() ? saveS + 1 : 0;
     }
 
+    /** Seconds of run time that are lost, on average, when one task's machine vanishes; a gang loses them in each task. */
+    public double lossS() {
+        double once = (saves() ? Math.min(checkpointS, estimateS) : estimateS) / 2;
+        return gang() ? once * tasks : once;
+    }
+
     /** At most so many of the tasks may be in one zone. */
     public int zoneLimit() {
         return spread ? (tasks + 1) / 2 : tasks;
--- a/src/main/java/org/spoolline/placement/Placer.java
+++ b/src/main/java/org/spoolline/placement/Placer.java
@@ -143,9 +143,11 @@
             }
         }
         // The image at hand first, then the smallest type that does, so that big machines stay free for big tasks;
-        // then cheap machines, and the fullest of them, so that the dear ones empty out and can be returned.
+        // then cheap machines, and the fullest of them, so that the dear ones empty out and can be returned; but work
+        // that loses much when the cloud takes its machine leaves the cheap ones to work that loses little.
+        int spotFirst = spec.lossS() <= Constants.SPOT_LOSS_S ? 0 : 2;
         fitting.sort(Comparator.<Node>comparingInt(n -> n.fetchS(spec) < Constants.SHORT_FETCH_S ? 0 : 1)
-                .thenComparingDouble(n -> n.type.cores()).thenComparingInt(n -> n.spot ? 0 : 1)
+                .thenComparingDouble(n -> n.type.cores()).thenComparingInt(n -> n.spot ? spotFirst : 1)
                 .thenComparingDouble(Node::cores)
                 .thenComparing(n -> n.machine.name()));
         List<Node> chosen = choose(job, fitting, allowed);
--- a/src/main/java/org/spoolline/settings/Constants.java
+++ b/src/main/java/org/spoolline/settings/Constants.java
@@ -100,6 +100,11 @@
     public static final double SHORT_FETCH_S = 6;
     /** Share of gang_wait_s that the fetch of a late member may take while the others wait for it. */
     public static final double MEND_FETCH_SHARE = 0.5;
+    /**
+     * Seconds of work that a vanished machine may cost for its work still to go to spot machines first: what any start
+     * costs in launch and fetch.
+     */
+    public static final double SPOT_LOSS_S = 15;
     /** Ms after which machines cleared for a job that has still not started there are given free again. */
     public static final long RESERVED_MS = 20_000;
 
