Idle ordinary machines stay for their type's boot time

Cause: on all deployments machines are returned after 6 s without work and others rented soon after; a start that finds no machine waits for a boot and a fetch. Keeping a machine for as long as a new one would take to boot costs about as much as the boot.

--- a/src/main/java/org/spoolline/fleet/Fleet.java
+++ b/src/main/java/org/spoolline/fleet/Fleet.java
@@ -244,7 +244,7 @@
                 continue;
             }
             boolean idle = m.heard() && now - m.idleSince() > (m.spot() ? settings.operator().idleSpotMs()
-                    : settings.operator().idleMs())
+                    : Math.max(settings.operator().idleMs(), type == null ? 0 : (long) (type.bootS() * 1000)))
                     && now - m.knownSince() > Constants.MIN_CHARGE_MS;
             if (neverCame || lost || deaf || idle || m.draining() && m.heard()) {
                 if (!m.draining()) {
