Jobs of which nothing has begun come first after 90 s; room gathers for waiting gangs

Cause: in a story with endless small jobs a gang for 12 machines of one zone did not begin within 240 s, since each freed machine went to the next small gang, and a gang at its team's limit waits for its team's stream to pause. Now such jobs come first (arrays with one task), room on the emptiest machines of a zone is kept for the oldest such gang, and its team's other work waits, both until the gang is 300 s old.

--- a/src/main/java/org/spoolline/pipeline/Pipeline.java
+++ b/src/main/java/org/spoolline/pipeline/Pipeline.java
@@ -192,6 +192,11 @@
         lastAttempt = Math.max(lastAttempt, attempt.number() + 1);
     }
 
+    /** True once a task of the job has been placed. */
+    public boolean begun() {
+        return lastAttempt > 0;
+    }
+
     /**
      * Number for new starts. The numbers of any one task only grow, since {@link #lose} goes past the one lost; tasks
      * that start for the first time share a number, and with it their machine's place in the stored form.
--- a/src/main/java/org/spoolline/placement/Placer.java
+++ b/src/main/java/org/spoolline/placement/Placer.java
@@ -4,6 +4,7 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -36,8 +37,9 @@
     public record Clearing(String uid, Set<String> machines, Map<Machine.Start, Double> leaving, boolean warm) {
     }
 
-    /** What to start, what found no room, most urgent first, and what to clear for it. */
-    public record Plan(Map<String, List<Placement>> placements, List<Want> wants, List<Clearing> clearings) {
+    /** What to start, what found no room, most urgent first, what to clear for it, and machines that room gathers on. */
+    public record Plan(Map<String, List<Placement>> placements, List<Want> wants, List<Clearing> clearings,
+                       Set<String> gathering) {
     }
 
     private final Picture picture;
@@ -47,6 +49,9 @@
     private final List<Want> wants = new ArrayList<>();
     private Set<String> within = Set.of();
     private Preemption preemption;
+    /** Teams whose running work has to make way for a gang that needs most of their limit. */
+    private final Set<String> closed = new HashSet<>();
+    private final Set<String> gathering = new LinkedHashSet<>();
 
     private Placer(Picture picture) {
         this.picture = picture;
@@ -87,7 +92,7 @@
             }
             place(job);
         }
-        return new Plan(placements, wants, preemption.clear(wants));
+        return new Plan(placements, wants, preemption.clear(wants), gathering);
     }
 
     private Collection<Attempt> held(Pipeline job) {
@@ -95,10 +100,19 @@
         return union == null ? job.attempts() : union;
     }
 
-    /** Release order within priority, with the jobs inside their team's guarantee first. */
-    private static List<Pipeline> inOrder(List<Pipeline> byRelease, Set<String> within) {
+    /** True for a job that has waited long and of which nothing has begun. */
+    private boolean aged(Pipeline job) {
+        return !job.begun() && picture.timeOfDay() - job.acceptedAt() > Constants.AGED_MS;
+    }
+
+    /**
+     * Release order within priority, with the jobs inside their team's guarantee first. Before them all, jobs that have
+     * waited long are to begin, or a stream of others could keep them waiting for ever.
+     */
+    private List<Pipeline> inOrder(List<Pipeline> byRelease, Set<String> within) {
         List<Pipeline> ordered = new ArrayList<>(byRelease);
-        ordered.sort(Comparator.<Pipeline>comparingInt(j -> within.contains(j.uid()) ? 0 : 1)
+        ordered.sort(Comparator.<Pipeline>comparingInt(j -> aged(j) ? 0 : 1)
+                .thenComparingInt(j -> within.contains(j.uid()) ? 0 : 1)
                 .thenComparing(j -> j.spec().priority(), Comparator.reverseOrder()));
         return ordered;
     }
@@ -125,7 +139,14 @@
     private void place(Pipeline job) {
         Submission spec = job.spec();
         int ready = job.readyCount();
-        int allowed = Math.min(ready, headroom(spec));
+        boolean aged = aged(job);
+        // An aged array begins with one task; with that it is in its usual place again.
+        int allowed = Math.min(aged && !spec.gang() ? 1 : ready, closed.contains(spec.team()) ? 0 : headroom(spec));
+        boolean gathers = aged && spec.gang()
+                && picture.timeOfDay() - job.acceptedAt() < Constants.GATHER_UNTIL_MS;
+        if (gathers && allowed < ready) {
+            closed.add(spec.team());
+        }
         if (allowed <= 0 || job.notBefore() > picture.timeOfDay() || !picture.placeable().contains(job.uid())) {
             return;
         }
@@ -170,11 +191,45 @@
             use[0] += placed.size() * spec.cores();
             use[1] += placed.size() * spec.accelerators();
         }
+        if (gathers && placed.isEmpty() && gathering.isEmpty()) {
+            gather(job);
+        }
         if (placed.size() < allowed) {
             wants.add(new Want(job, allowed - placed.size(), within.contains(job.uid())));
         }
     }
 
+    /** Keeps the emptiest machines that would do from all other work, so that room comes together on them. */
+    private void gather(Pipeline job) {
+        Submission spec = job.spec();
+        Map<String, List<Node>> byZone = new LinkedHashMap<>();
+        for (Node node : nodes) {
+            if (node.openTo(job) && node.reservedFor() == null && node.type.suits(spec)) {
+                byZone.computeIfAbsent(spec.oneZone() ? node.zone : "", z -> new ArrayList<>()).add(node);
+            }
+        }
+        List<Node> best = List.of();
+        double most = -1;
+        for (List<Node> some : byZone.values()) {
+            some.sort(Comparator.comparingDouble((Node n) -> n.type.cores() - n.cores())
+                    .thenComparing(n -> n.machine.name()));
+            int needed = 0;
+            for (int room = 0; needed < some.size() && room < spec.tasks(); needed++) {
+                room += some.get(needed).type.fits(spec);
+            }
+            List<Node> first = some.subList(0, needed);
+            double free = first.stream().mapToDouble(Node::cores).sum();
+            if (free > most) {
+                most = free;
+                best = first;
+            }
+        }
+        for (Node node : best) {
+            node.reserve(job.uid());
+            gathering.add(node.machine.name());
+        }
+    }
+
     /** True when the gang had better start where its image is, on machines that are or will be cleared for it. */
     private boolean waitsForWarmPlaces(Pipeline job, List<Node> chosen) {
         double fetchS = chosen.stream().mapToDouble(n -> n.fetchS(job.spec())).max().orElse(0);
--- a/src/main/java/org/spoolline/placement/Rounds.java
+++ b/src/main/java/org/spoolline/placement/Rounds.java
@@ -322,6 +322,7 @@
         List<Change> ordered = inOrder(changes);
         boolean all = write(ordered) && ordered.size() == changes.size();
         Set<String> coming = machinesWithWorkComing();
+        coming.addAll(plan.gathering());
         reservations.values().forEach(r -> coming.addAll(r.clearing().machines()));
         fleet.pass(plan.wants(), name -> jobs.anyOn(name) || coming.contains(name));
         // Reports whose launches wait for the state budget are held on: the next regular one is seconds away.
--- a/src/main/java/org/spoolline/settings/Constants.java
+++ b/src/main/java/org/spoolline/settings/Constants.java
@@ -100,6 +100,10 @@
     public static final double SHORT_FETCH_S = 6;
     /** Share of gang_wait_s that the fetch of a late member may take while the others wait for it. */
     public static final double MEND_FETCH_SHARE = 0.5;
+    /** Ms after which a job of which nothing has begun comes first: the protocol wants the largest to begin in 240 s. */
+    public static final long AGED_MS = 90_000;
+    /** Ms of age after which room is no longer gathered for a gang: others have waited for it long enough. */
+    public static final long GATHER_UNTIL_MS = 300_000;
     /**
      * Seconds of work that a vanished machine may cost for its work still to go to spot machines first: what any start
      * costs in launch and fetch.
--- a/src/test/java/org/spoolline/world/StoriesTest.java
+++ b/src/test/java/org/spoolline/world/StoriesTest.java
@@ -407,6 +407,31 @@
         }
     }
 
+    /** Room once leaked to whatever small job came next, in the machines as in the team's limit. */
+    @Test
+    void aStreamWithoutEndKeepsNoLargeGangFromBeginning() {
+        for (int seed = 1; seed <= SEEDS; seed++) {
+            World world = new World(seed, 6);
+            world.cloud.capacity = 12;
+            world.run(3);
+            for (int i = 0; i < 400; i++) {
+                world.at(i * 1_000L, () -> world.users.submit(world.users.job("red", "group", 1, 7, 40)
+                        .with("lane", "small").with("urgency", "urgent")));
+                world.at(i * 1_000L + 500, () -> world.users.submit(world.users.job("blue", "batch", 8, 1, 15)
+                        .with("lane", "stream")));
+            }
+            world.at(30_000, () -> {
+                world.users.submit(world.users.job("blue", "group", 24, 8, 20).with("lane", "limit"));
+                world.users.submit(world.users.job("red", "group", 12, 7, 20).with("lane", "wide")
+                        .with("samePlace", true).with("urgency", "urgent"));
+            });
+            world.run(330);
+            world.rules.dayIsOver();
+            assertEquals(List.of(), world.rules.broken().stream().filter(b -> !b.contains("unserved")).toList(),
+                    "seed " + seed);
+        }
+    }
+
     @Test
     void aMachineLosesTheNetworkAndItsReportsArriveLate() {
         day(300, world -> {
