One job, one refused transaction or one failed plan stops nothing else; bounded debt

Taken away, each able to do it: a transaction refused or in conflict took all of its jobs with it, first in the order for ever; an error in judging one job or in planning ended every round; debt of the state budget after an outage had no bound.

--- a/src/main/java/org/spoolline/placement/JobTable.java
+++ b/src/main/java/org/spoolline/placement/JobTable.java
@@ -94,9 +94,9 @@
             // A change older than the job's removal must not bring it back: its attempts would be launched again.
             try {
                 confirm(uid, Pipeline.decode(change.value()), change.version());
-            } catch (IllegalArgumentException e) {
+            } catch (RuntimeException e) {
                 // One value that can't be read, perhaps of a later version, must not stop all the others.
-                LOG.error("the stored value of {} can't be read: {}", uid, e.getMessage());
+                LOG.error("the stored value of {} can't be read", uid, e);
             }
         }
     }
--- a/src/main/java/org/spoolline/placement/Rounds.java
+++ b/src/main/java/org/spoolline/placement/Rounds.java
@@ -44,6 +44,8 @@
     private static final Logger LOG = LoggerFactory.getLogger(Rounds.class);
     /** Rank of a change that only takes ends of some tasks over. */
     private static final int ENDS_ONLY = 4;
+    /** Rank of a change that was refused before: last, so that it keeps nobody from being written. */
+    private static final int ALONE = 5;
 
     private final Loop loop;
     private final Settings settings;
@@ -72,6 +74,8 @@
     private final Map<String, Set<Attempt>> unsettled = new HashMap<>();
     /** Since when a job's change has waited for the state budget. */
     private final Map<String, Long> unwrittenSince = new HashMap<>();
+    /** Jobs of a refused transaction: each is written by itself until that succeeds, lest one of them stops the rest. */
+    private final Set<String> alone = new HashSet<>();
     /** Jobs whose value has no room for more attempts, with the time until which their turn goes to others. */
     private final Map<String, Long> fullUntil = new HashMap<>();
     private long sweptAt;
@@ -139,6 +143,7 @@
         heard.clear();
         unsettled.clear();
         unwrittenSince.clear();
+        alone.clear();
         fullUntil.clear();
         sweptAt = loop.now();
         load(token);
@@ -297,7 +302,7 @@
             }
             Collection<Attempt> due = sweep || judgedWhole(entry) ? entry.confirmed().attempts()
                     : unsettled.getOrDefault(uid, Set.of());
-            Pipeline next = due.isEmpty() && !entry.confirmed().cancelled() ? null : weigh(entry, due);
+            Pipeline next = due.isEmpty() && !entry.confirmed().cancelled() ? null : weighed(entry, due);
             working.put(uid, next == null ? entry.confirmed() : next);
             if (next == null) {
                 unsettled.remove(uid);
@@ -306,7 +311,7 @@
                 changes.put(uid, new Change(entry, next));
             }
         }
-        Placer.Plan plan = Placer.plan(picture(working));
+        Placer.Plan plan = planned(working);
         for (Placer.Clearing clearing : plan.clearings()) {
             reservations.put(clearing.uid(), new Reservation(clearing, loop.now() + Constants.RESERVED_MS));
             if (clearing.warm()) {
@@ -377,6 +382,26 @@
                 .noneMatch(start -> clearing.machines().stream().anyMatch(m -> jobs.on(m).containsKey(start)));
     }
 
+    /** What has ended is written and told even when no plan can be made. */
+    private Placer.Plan planned(Map<String, Pipeline> working) {
+        try {
+            return Placer.plan(picture(working));
+        } catch (RuntimeException e) {
+            LOG.error("no plan can be made", e);
+            return new Placer.Plan(Map.of(), List.of(), List.of(), Set.of());
+        }
+    }
+
+    /** One job that can't be judged must not stop the rounds for all others. */
+    private Pipeline weighed(JobTable.Entry entry, Collection<Attempt> due) {
+        try {
+            return weigh(entry, due);
+        } catch (RuntimeException e) {
+            LOG.error("{} can't be judged", entry.confirmed().uid(), e);
+            return null;
+        }
+    }
+
     /** Steps one pipeline by what is proven about the attempts that are due; null when nothing changes. */
     private Pipeline weigh(JobTable.Entry entry, Collection<Attempt> due) {
         Pipeline now = entry.confirmed();
@@ -663,6 +688,9 @@
 
     private int rank(Change change, long now) {
         Pipeline next = change.next();
+        if (alone.contains(next.uid())) {
+            return ALONE;
+        }
         if (now - unwrittenSince.get(next.uid()) > Constants.WRITE_PATIENCE_MS) {
             return 0;
         }
@@ -688,7 +716,8 @@
             }
             ObjectNode value = over ? FinalRecord.of(change.next()).encode() : change.next().encode();
             int size = over ? Constants.FINAL_BYTES : Json.bytes(value).length + Constants.FRAME_BYTES;
-            if (ops + cost > settings.state().txnOps() || bytes + size > Constants.TXN_BYTES) {
+            boolean apart = alone.contains(change.next().uid()) && !batch.isEmpty();
+            if (apart || ops + cost > settings.state().txnOps() || bytes + size > Constants.TXN_BYTES) {
                 send(batch, ops);
                 batch = new ArrayList<>();
                 ops = 0;
@@ -745,12 +774,16 @@
             }
             txnsInFlight--;
             if (fate == StateClient.Fate.APPLIED) {
+                batch.forEach(change -> alone.remove(change.next().uid()));
                 batch.forEach(change -> applied(change, outcome.revision()));
                 tell(false);
             } else if (fate == StateClient.Fate.CONFLICT) {
                 conflict(batch, outcome.failed(), mine);
             } else {
                 LOG.info("a transaction of {} jobs was refused: {}", batch.size(), fate);
+                if (fate != StateClient.Fate.REFUSED) {
+                    batch.forEach(change -> alone.add(change.next().uid()));
+                }
                 batch.forEach(change -> abandoned(change.entry()));
             }
             poke();
@@ -785,6 +818,7 @@
             return;
         }
         LOG.info("a transaction of {} jobs met newer values: {}", batch.size(), failed);
+        batch.stream().filter(c -> failed.contains(JOBS + c.next().uid())).forEach(c -> alone.add(c.next().uid()));
         for (Change change : batch) {
             if (failed.contains(JOBS + change.next().uid())) {
                 reread(change, mine);
--- a/src/main/java/org/spoolline/state/RateBudget.java
+++ b/src/main/java/org/spoolline/state/RateBudget.java
@@ -1,5 +1,7 @@
 package org.spoolline.state;
 
+import org.spoolline.settings.Constants;
+
 /** A bucket of requests or changes that refills steadily and holds one second's worth. */
 public final class RateBudget {
     private double perS;
@@ -32,7 +34,8 @@
     /** Takes {@code amount} even into debt: leadership goes first, others wait for it. */
     public void force(double amount, long now) {
         refill(now);
-        left -= amount;
+        // Bounded: copies of transactions sent through a long outage would else stop all work for minutes after it.
+        left = Math.max(left - amount, -perS * Constants.DEBT_S);
     }
 
     public double perS() {
