--- a/src/main/java/org/spoolline/settings/Constants.java
+++ b/src/main/java/org/spoolline/settings/Constants.java
@@ -63,6 +63,8 @@
     public static final double FOLLOWER_BUDGET_SHARE = 0.3;
     /** Seconds of refill that a budget may be in debt at most. */
     public static final double DEBT_S = 2;
+    /** Share of the requests a second that users' requests leave for a leader's rounds. */
+    public static final double ROUNDS_RESERVE = 0.1;
     /** Share of the changes a second that a leader's rounds leave for users' requests. */
     public static final double USERS_RESERVE = 0.1;
     /** Bytes of one transaction that we fill at most: the protocol allows 64 KiB. */
--- a/src/main/java/org/spoolline/state/StateClient.java
+++ b/src/main/java/org/spoolline/state/StateClient.java
@@ -91,6 +91,8 @@
     private final RateBudget requests;
     private final RateBudget changes;
     private final Latencies latencies;
+    /** Requests that a leader keeps from users, so that polls of jobs that don't end can't keep them from ending. */
+    private double forRounds;
     private long lastReached;
     private boolean everReached;
 
@@ -112,6 +114,7 @@
     public void leading(boolean leads) {
         double share = nodes == 1 ? 1 : leads ? Constants.LEADER_BUDGET_SHARE
                 : Math.min(Constants.FOLLOWER_BUDGET_SHARE, 1.0 / (nodes - 1));
+        forRounds = leads ? limits.requestsPerS() * Constants.ROUNDS_RESERVE : 0;
         requests.rate(limits.requestsPerS() * share, loop.now());
         changes.rate(limits.writesPerS() * share, loop.now());
     }
@@ -132,7 +135,7 @@
     /** Takes budget for one request with so many changes; false: spent, come back later. */
     public boolean admit(int writes) {
         long now = loop.now();
-        if (requests.left(now) < 1 || changes.left(now) < writes) {
+        if (requests.left(now) < 1 + forRounds || changes.left(now) < writes) {
             return false;
         }
         requests.take(1, now);
