Nudges under way, accept backlog and times of silence follow from the settings

The times after which a machine or a node counts as silent were fixed for reports every 3 s; they come every 4 s now. The accept backlog was the library's 1,000.

--- a/src/main/java/org/spoolline/Controller.java
+++ b/src/main/java/org/spoolline/Controller.java
@@ -41,7 +41,7 @@
         JobTable jobs = new JobTable();
         rounds = new Rounds(loop, settings, state, leadership, catalog, machines, jobs);
         fleet = new Fleet(loop, http, settings, leadership, catalog, machines, rounds::poke);
-        checkIns = new CheckIns(loop, http, settings.workers().leaseMs(), leadership, machines, jobs, rounds,
+        checkIns = new CheckIns(loop, http, settings, leadership, machines, jobs, rounds,
                 rounds::heard);
         rounds.connect(fleet, new Rounds.Outcomes() {
             @Override
--- a/src/main/java/org/spoolline/placement/Rounds.java
+++ b/src/main/java/org/spoolline/placement/Rounds.java
@@ -585,7 +585,7 @@
         List<Machine> usable = new ArrayList<>();
         for (Machine m : machines.all()) {
             if (!m.gone() && !m.draining() && m.heard() && !m.deaf() && m.noticeS() == null
-                    && loop.now() - m.heardAt() < Constants.QUIET_MS) {
+                    && loop.now() - m.heardAt() < settings.quietMs()) {
                 usable.add(m);
             }
         }
--- a/src/main/java/org/spoolline/settings/Constants.java
+++ b/src/main/java/org/spoolline/settings/Constants.java
@@ -25,6 +25,8 @@
     /** Idle connections kept in any case: the state service, the cloud and the peers. */
     public static final int IDLE_CONNECTIONS_MIN = 16;
 
+    /** Exit code after an error such as memory that is full: the virtual machine's own, see ExitOnOutOfMemoryError. */
+    public static final int EXIT_ERROR = 3;
     /** Tries to listen on an address that a process just ended may still hold. */
     public static final int BIND_TRIES = 8;
     /** Ms between these tries. */
@@ -93,6 +95,10 @@
     public static final int UNHEARD_ANSWERS = 2;
     /** Bits of a worker's token that count nudges: a million nudges of one worker under one leader. */
     public static final int NUDGE_BITS = 20;
+    /** Sockets of the settings for one nudge under way: a round may have orders for hundreds of machines. */
+    public static final int SOCKETS_PER_NUDGE = 20;
+    /** Nudges under way in any case. */
+    public static final int NUDGES_MIN = 8;
     /** Ms a nudge may take; without an answer the regular report does its work. */
     public static final long NUDGE_TIMEOUT_MS = 1_000;
     /** Ms for which the answer to a report that brings ends is held, so that it can carry the next launches. */
@@ -169,8 +175,11 @@
     public static final long MIN_CHARGE_MS = 60_000;
     /** Times the nominal boot time after which a machine is given up. */
     public static final double BOOT_PATIENCE = 4.0;
-    /** Ms without a check-in after which no new work goes to a machine: two reports missed. */
-    public static final long QUIET_MS = 8_000;
+    /**
+     * Report times without a check-in after which no new work goes to a machine: one report was missed and the next is
+     * late, though reports come up to a quarter late, and more on bad days.
+     */
+    public static final double QUIET_REPORTS = 2.7;
     /** Ms without a check-in after which a machine that should run is returned. */
     public static final long LOST_MS = 60_000;
     /** Items of one page of a listing: some 500 values of a few hundred bytes stay under the page's 512 KiB. */
@@ -184,8 +193,8 @@
     public static final int REHEARSED_CHECK_INS = 12;
     /** Ms between two log lines on the state service's latency. */
     public static final long LATENCY_LOG_MS = 60_000;
-    /** Ms without any check-in after which a leader gives way to a peer that workers reach: over two reports. */
-    public static final long DEAF_MS = 7_000;
+    /** Report times without any check-in after which a leader gives way to a peer that workers reach. */
+    public static final double DEAF_REPORTS = 2.4;
     /** Ms for which a node that gave way does not stand again. */
     public static final long RESIGNED_MS = 20_000;
     /** Ms after which an idle node asks the state service for a sign of life. */
--- a/src/main/java/org/spoolline/settings/Settings.java
+++ b/src/main/java/org/spoolline/settings/Settings.java
@@ -53,6 +53,26 @@
         return Math.max(Constants.IDLE_CONNECTIONS_MIN, quota.sockets() / Constants.SOCKETS_PER_IDLE_CONNECTION);
     }
 
+    /** Nudges under way at once: each takes a socket, until its time is over where the machine is silent. */
+    public int nudgesAtOnce() {
+        return Math.max(Constants.NUDGES_MIN, quota.sockets() / Constants.SOCKETS_PER_NUDGE);
+    }
+
+    /** Ms without a check-in after which a machine gets no new work. */
+    public long quietMs() {
+        return (long) (workers.reportMs() * Constants.QUIET_REPORTS);
+    }
+
+    /** Ms without any check-in after which a node counts as one that workers don't reach. */
+    public long deafMs() {
+        return (long) (workers.reportMs() * Constants.DEAF_REPORTS);
+    }
+
+    /** Connections that may wait to be accepted: all that the sockets allow, since all workers may come at once. */
+    public int backlog() {
+        return Math.max(Constants.IDLE_CONNECTIONS_MIN, quota.sockets());
+    }
+
     /** Ms between renewals of the leadership lease. */
     public long renewMs() {
         return Math.max(1, leadershipMs() / Constants.RENEWALS);
--- a/src/main/java/org/spoolline/workers/CheckIns.java
+++ b/src/main/java/org/spoolline/workers/CheckIns.java
@@ -4,8 +4,10 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.Collection;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -16,6 +18,7 @@
 import org.spoolline.pipeline.Attempt;
 import org.spoolline.placement.JobTable;
 import org.spoolline.settings.Constants;
+import org.spoolline.settings.Settings;
 
 /**
  * Answers the workers' check-ins. Wanted: each machine holds just the attempts stored for it; the orders are the
@@ -35,6 +38,7 @@
 
     private final Loop loop;
     private final Http.Caller http;
+    private final Settings settings;
     private final long leaseMs;
     private final Leadership leadership;
     private final MachineTable machines;
@@ -42,14 +46,18 @@
     private final Wishes wishes;
     private final Consumer<Machine> news;
     private final Map<String, Held> waiting = new LinkedHashMap<>();
+    /** Machines to be nudged once others have answered: a nudge takes a socket, and sockets are few. */
+    private final Set<String> toNudge = new LinkedHashSet<>();
+    private int nudging;
     private boolean ready;
     private long lastHeardAt;
 
-    public CheckIns(Loop loop, Http.Caller http, long leaseMs, Leadership leadership,
-                    MachineTable machines, JobTable jobs, Wishes wishes, Consumer<Machine> news) {
+    public CheckIns(Loop loop, Http.Caller http, Settings settings, Leadership leadership, MachineTable machines,
+                    JobTable jobs, Wishes wishes, Consumer<Machine> news) {
         this.loop = loop;
         this.http = http;
-        this.leaseMs = leaseMs;
+        this.settings = settings;
+        this.leaseMs = settings.workers().leaseMs();
         this.leadership = leadership;
         this.machines = machines;
         this.jobs = jobs;
@@ -59,7 +67,7 @@
 
     /** True when a worker has come here lately, whatever it was answered. */
     public boolean hearsWorkers() {
-        return loop.now() - lastHeardAt < Constants.DEAF_MS;
+        return loop.now() - lastHeardAt < settings.deafMs();
     }
 
     /** True when machines should be reporting, and none has for too long: the workers may not get through to us. */
@@ -109,6 +117,8 @@
             LOG.info("machine {} {} in {} is up, session {}", machine.name(), machine.type(), machine.zone(),
                     machine.session());
         }
+        // This answer brings it what the nudge would have it ask for.
+        toNudge.remove(machine.name());
         Held held = new Held(machine, answer);
         Held older = waiting.remove(machine.name());
         if (older != null) {
@@ -181,23 +191,33 @@
     /**
      * Makes machines report at once, so that orders reach them without waiting for the regular report: a command
      * without orders that shows a higher token. It starts nothing, so it may arrive as late as it likes. A worker
-     * heeds a higher token once per half of its lease.
+     * heeds a higher token once per half of its lease. Only so many are under way at once; the rest take turns.
      */
     public void nudge(Collection<String> names) {
-        for (String name : names) {
-            Machine machine = machines.get(name);
-            if (machine == null || machine.gone() || waiting.containsKey(name) || !leadership.valid()
-                    || machine.address().isEmpty()
-                    || loop.now() - machine.nudgedAt() <= leaseMs / 2 + Constants.MARGIN_MS) {
-                continue;
-            }
-            machine.nudge(loop.now());
-            ObjectNode body = Json.object().put("baton", leadership.workerToken() + machine.nudges())
-                    .put("shift", machine.session());
-            body.putArray("orders");
-            http.call(machine.address(), "POST", "/commands", Json.bytes(body), Constants.NUDGE_TIMEOUT_MS,
-                    reply -> { });
+        toNudge.addAll(names);
+        while (nudging < settings.nudgesAtOnce() && !toNudge.isEmpty()) {
+            String name = toNudge.iterator().next();
+            toNudge.remove(name);
+            nudge(name);
+        }
+    }
+
+    private void nudge(String name) {
+        Machine machine = machines.get(name);
+        if (machine == null || machine.gone() || waiting.containsKey(name) || !leadership.valid()
+                || machine.address().isEmpty()
+                || loop.now() - machine.nudgedAt() <= leaseMs / 2 + Constants.MARGIN_MS) {
+            return;
         }
+        machine.nudge(loop.now());
+        ObjectNode body = Json.object().put("baton", leadership.workerToken() + machine.nudges())
+                .put("shift", machine.session());
+        body.putArray("orders");
+        nudging++;
+        http.call(machine.address(), "POST", "/commands", Json.bytes(body), Constants.NUDGE_TIMEOUT_MS, reply -> {
+            nudging--;
+            nudge(Set.of());
+        });
     }
 
     private boolean launchable(Machine machine) {
--- a/src/test/java/org/spoolline/settings/SettingsFileTest.java
+++ b/src/test/java/org/spoolline/settings/SettingsFileTest.java
@@ -50,6 +50,19 @@
         return assertThrows(SettingsException.class, () -> SettingsFile.parse(toml)).getMessage();
     }
 
+    /** Bounds that were fixed for the first deployments once did not grow with the machines. */
+    @Test
+    void boundsAndTimesFollowFromTheSettings() throws Exception {
+        Settings small = SettingsFile.parse(FINE.replace("sockets = 2500", "sockets = 100"));
+        Settings large = SettingsFile.parse(FINE.replace("report_s = 3.0", "report_s = 4.0"));
+        assertEquals(100, small.backlog());
+        assertEquals(2500, large.backlog());
+        assertTrue(small.nudgesAtOnce() + small.idleConnections() < 100 / 2);
+        assertTrue(large.nudgesAtOnce() + large.idleConnections() < 2500 / 5);
+        assertTrue(large.quietMs() > 4_000 * 2.5 && large.quietMs() < large.workers().leaseMs());
+        assertTrue(large.deafMs() > 4_000 * 2 && small.deafMs() < large.deafMs());
+    }
+
     @Test
     void unknownFieldsAreIgnored() throws Exception {
         Settings s = SettingsFile.parse(FINE);
