--- a/src/main/java/org/spoolline/cli/Main.java
+++ b/src/main/java/org/spoolline/cli/Main.java
@@ -5,12 +5,14 @@
 import java.net.BindException;
 import java.nio.file.Path;
 import java.util.Locale;
+import java.util.SplittableRandom;
 import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.spoolline.Controller;
+import org.spoolline.net.Guard;
 import org.spoolline.net.Http;
 import org.spoolline.net.UndertowCaller;
 import org.spoolline.net.UndertowServer;
@@ -29,7 +31,10 @@
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 
-/** The command line. Exit codes: 0 fine, 1 the service failed, 2 wrong use or unusable settings. */
+/**
+ * The command line. Exit codes: 0 fine, 1 the service could not start, 2 wrong use or unusable settings, 3 an error that
+ * no exception handling mends.
+ */
 @Command(name = "spoolline", mixinStandardHelpOptions = true, version = "spoolline 0.1.0",
         description = "Cluster scheduler: runs one controller node until it is killed.")
 public final class Main implements Callable<Integer> {
@@ -95,11 +100,10 @@
     }
 
     /** Listens; an address that a process of ours just ended may still hold is tried again for a moment. */
-    private static void listen(XnioWorker worker, DefaultByteBufferPool buffers, String address,
-                               Http.Handler handler) {
+    private static void listen(UndertowServer server, String address, Http.Handler handler) {
         for (int tries = Constants.BIND_TRIES; ; tries--) {
             try {
-                UndertowServer.start(worker, buffers, address, handler);
+                server.listen(address, handler);
                 return;
             } catch (RuntimeException e) {
                 if (tries <= 1 || !(rootOf(e) instanceof BindException)) {
@@ -132,18 +136,25 @@
         return new DefaultByteBufferPool(false, Constants.BUFFER_BYTES, Constants.BUFFERS_KEPT, 0);
     }
 
+    /** Ends the process without any winding up: whoever is half alive had better be gone at once. */
+    static Guard guard() {
+        return new Guard(Runtime.getRuntime()::halt);
+    }
+
     private static int serve(Settings settings) throws InterruptedException {
         Logger log = LoggerFactory.getLogger(Main.class);
         try {
             XnioWorker worker = worker();
             XnioIoThread thread = worker.getIoThread();
             DefaultByteBufferPool buffers = buffers();
-            Controller controller = new Controller(settings, new XnioLoop(thread),
-                    new UndertowCaller(thread, buffers, settings.idleConnections()), new java.util.SplittableRandom());
+            Guard guard = guard();
+            Controller controller = new Controller(settings, new XnioLoop(thread, guard),
+                    new UndertowCaller(thread, buffers, settings.idleConnections(), guard), new SplittableRandom());
+            UndertowServer server = new UndertowServer(worker, buffers, settings.backlog(), guard);
             log.info("{} is to serve users and workers on {}, controllers on {}", settings.node(), settings.serveOn(),
                     settings.internalAddress());
-            listen(worker, buffers, settings.serveOn(), controller::serve);
-            listen(worker, buffers, settings.internalAddress(), controller::servePeer);
+            listen(server, settings.serveOn(), controller::serve);
+            listen(server, settings.internalAddress(), controller::servePeer);
             thread.execute(controller::start);
             // From here on the loop's thread is the only one that does anything; a virtual machine was seen to end in
             // the C library's read while the thread that started it was still winding up.
--- a/src/main/java/org/spoolline/cli/Rehearsal.java
+++ b/src/main/java/org/spoolline/cli/Rehearsal.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.spoolline.Controller;
+import org.spoolline.net.Guard;
 import org.spoolline.net.Http;
 import org.spoolline.net.Json;
 import org.spoolline.net.UndertowCaller;
@@ -86,12 +87,14 @@
         XnioWorker worker = Main.worker();
         XnioIoThread thread = worker.getIoThread();
         DefaultByteBufferPool buffers = Main.buffers();
-        loop = new XnioLoop(thread);
-        caller = new UndertowCaller(thread, buffers, settings.idleConnections());
+        Guard guard = Main.guard();
+        loop = new XnioLoop(thread, guard);
+        caller = new UndertowCaller(thread, buffers, settings.idleConnections(), guard);
         Controller controller = new Controller(settings, loop, caller, new SplittableRandom());
-        UndertowServer.start(worker, buffers, settings.serveOn(), controller::serve);
-        UndertowServer.start(worker, buffers, settings.internalAddress(), controller::servePeer);
-        UndertowServer.start(worker, buffers, outside, this::outside);
+        UndertowServer server = new UndertowServer(worker, buffers, settings.backlog(), guard);
+        server.listen(settings.serveOn(), controller::serve);
+        server.listen(settings.internalAddress(), controller::servePeer);
+        server.listen(outside, this::outside);
         thread.execute(() -> {
             controller.start();
             loop.after(400, () -> ask("POST", "/submissions", JOB.getBytes(StandardCharsets.UTF_8)));
--- /dev/null
+++ b/src/main/java/org/spoolline/net/Guard.java
@@ -0,0 +1,40 @@
+package org.spoolline.net;
+
+import java.util.function.IntConsumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.spoolline.settings.Constants;
+
+/**
+ * Runs what the loop's thread is given to do. A task that fails is logged and the loop goes on; an error that is no
+ * exception, such as memory that is full or a class that can't be loaded, ends the process, so that the platform starts
+ * it anew. A node left half alive once answered check-ins while its rounds came to nothing.
+ */
+public final class Guard {
+    private static final Logger LOG = LoggerFactory.getLogger(Guard.class);
+
+    private final IntConsumer end;
+
+    /** {@code end} ends the process with an exit code, at once. */
+    public Guard(IntConsumer end) {
+        this.end = end;
+    }
+
+    /** Runs the task; {@code what} names it in the log. False when it failed. */
+    public boolean run(String what, Runnable task) {
+        try {
+            task.run();
+            return true;
+        } catch (RuntimeException e) {
+            LOG.error("{} failed", what, e);
+        } catch (Error e) {
+            // The log itself may fail for the same reason.
+            try {
+                LOG.error("{} met an error that nobody here can mend; the process ends", what, e);
+            } finally {
+                end.accept(Constants.EXIT_ERROR);
+            }
+        }
+        return false;
+    }
+}
--- a/src/main/java/org/spoolline/net/UndertowCaller.java
+++ b/src/main/java/org/spoolline/net/UndertowCaller.java
@@ -33,15 +33,17 @@
     private final XnioIoThread thread;
     private final ByteBufferPool buffers;
     private final int keep;
+    private final Guard guard;
     /** Idle connections by target; the target that was used longest ago comes first. */
     private final Map<String, Deque<ClientConnection>> idle = new LinkedHashMap<>(16, 0.75f, true);
     private int kept;
 
     /** Keeps at most {@code keep} idle connections: every worker is called now and then, and sockets are few. */
-    public UndertowCaller(XnioIoThread thread, ByteBufferPool buffers, int keep) {
+    public UndertowCaller(XnioIoThread thread, ByteBufferPool buffers, int keep, Guard guard) {
         this.thread = thread;
         this.buffers = buffers;
         this.keep = keep;
+        this.guard = guard;
     }
 
     private ClientConnection take(String target) {
@@ -220,7 +222,7 @@
                 ClientConnection free = connection;
                 thread.execute(() -> keep(target, free));
             }
-            done.accept(reply);
+            guard.run("what follows an answer", () -> done.accept(reply));
         }
 
         private void fail() {
@@ -230,7 +232,7 @@
             over = true;
             timer.remove();
             IoUtils.safeClose(connection);
-            done.accept(Http.Reply.NONE);
+            guard.run("what follows a call without answer", () -> done.accept(Http.Reply.NONE));
         }
     }
 }
--- a/src/main/java/org/spoolline/net/UndertowServer.java
+++ b/src/main/java/org/spoolline/net/UndertowServer.java
@@ -9,26 +9,34 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.Arrays;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 import org.spoolline.settings.Constants;
 import org.xnio.IoUtils;
+import org.xnio.Options;
 import org.xnio.XnioWorker;
 import org.xnio.channels.StreamSourceChannel;
 
-/** Listens on one address and serves its handler on the worker's I/O thread. */
+/** Listens on addresses and serves their handlers on the worker's I/O thread. */
 public final class UndertowServer {
-    private static final Logger LOG = LoggerFactory.getLogger(UndertowServer.class);
+    private final XnioWorker worker;
+    private final ByteBufferPool buffers;
+    private final int backlog;
+    private final Guard guard;
 
-    private UndertowServer() {
+    /** {@code backlog}: connections that may wait to be accepted, as when all workers come from a node that ended. */
+    public UndertowServer(XnioWorker worker, ByteBufferPool buffers, int backlog, Guard guard) {
+        this.worker = worker;
+        this.buffers = buffers;
+        this.backlog = backlog;
+        this.guard = guard;
     }
 
     /** Starts listening; throws when the address can't be bound. */
-    public static void start(XnioWorker worker, ByteBufferPool buffers, String address, Http.Handler handler) {
+    public void listen(String address, Http.Handler handler) {
         int colon = address.lastIndexOf(':');
         Undertow server = Undertow.builder()
                 .setWorker(worker)
                 .setByteBufferPool(buffers)
+                .setSocketOption(Options.BACKLOG, backlog)
                 .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
                 .setServerOption(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
                 .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, Constants.IDLE_CONNECTION_MS)
@@ -39,7 +47,7 @@
         server.start();
     }
 
-    private static void receive(HttpServerExchange exchange, Http.Handler handler) {
+    private void receive(HttpServerExchange exchange, Http.Handler handler) {
         if (exchange.getRequestContentLength() > Constants.MAX_BODY_BYTES) {
             refuse(exchange);
             return;
@@ -54,8 +62,8 @@
     }
 
     /** Reads the body in bulk: Undertow's own receiver copies it byte by byte, half the cost of a check-in. */
-    private static void read(HttpServerExchange exchange, StreamSourceChannel source, ByteBuffer collected,
-                             Http.Handler handler) {
+    private void read(HttpServerExchange exchange, StreamSourceChannel source, ByteBuffer collected,
+                      Http.Handler handler) {
         ByteBuffer body = collected;
         try {
             while (true) {
@@ -88,20 +96,17 @@
         send(exchange, Http.Response.of(400, Constants.BODY_TOO_LARGE));
     }
 
-    private static void dispatch(HttpServerExchange exchange, byte[] body, Http.Handler handler) {
+    private void dispatch(HttpServerExchange exchange, byte[] body, Http.Handler handler) {
         if (exchange.isResponseStarted()) {
             return;
         }
         Http.Request request = new Http.Request(exchange.getRequestMethod().toString(), exchange.getRequestPath(),
                 exchange.getQueryString(), body);
         exchange.dispatch(exchange.getIoThread(), () -> {
-            try {
-                handler.handle(request, response -> send(exchange, response));
-            } catch (RuntimeException e) {
-                LOG.error("{} {} failed", request.method(), request.path(), e);
-                if (!exchange.isResponseStarted()) {
-                    send(exchange, new Http.Response(503, new byte[0], 1));
-                }
+            boolean fine = guard.run(request.method() + " " + request.path(),
+                    () -> handler.handle(request, response -> send(exchange, response)));
+            if (!fine && !exchange.isResponseStarted()) {
+                send(exchange, new Http.Response(503, new byte[0], Constants.RETRY_AFTER_S));
             }
         });
     }
--- a/src/main/java/org/spoolline/net/XnioLoop.java
+++ b/src/main/java/org/spoolline/net/XnioLoop.java
@@ -1,17 +1,16 @@
 package org.spoolline.net;
 
 import java.util.concurrent.TimeUnit;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 import org.xnio.XnioIoThread;
 
 /** The loop of a real process: the worker's only XNIO I/O thread. */
 public final class XnioLoop implements Loop {
-    private static final Logger LOG = LoggerFactory.getLogger(XnioLoop.class);
     private final XnioIoThread thread;
+    private final Guard guard;
 
-    public XnioLoop(XnioIoThread thread) {
+    public XnioLoop(XnioIoThread thread, Guard guard) {
         this.thread = thread;
+        this.guard = guard;
     }
 
     @Override
@@ -26,13 +25,7 @@
 
     @Override
     public void after(long delayMs, Runnable task) {
-        Runnable guarded = () -> {
-            try {
-                task.run();
-            } catch (RuntimeException e) {
-                LOG.error("a timer task failed", e);
-            }
-        };
+        Runnable guarded = () -> guard.run("a timer task", task);
         if (delayMs <= 0) {
             thread.execute(guarded);
         } else {
