A machine back at once under its old name: only the present token proves ends

Sessions and ends prove something only with a token of the present leadership; a report with a lower token than before is of another life. A machine that never hears the present leader can't show its token: it is returned once the lease of what it holds has ended. Ruled out: rejecting by session and tick alone, since a new leader may meet either life first. New stories: a fleet of over 1,000 machines under restarts of all controllers, under a cut of 200 machines with a crash and a standstill; silent machines and nudges.

--- a/src/main/java/org/spoolline/fleet/Fleet.java
+++ b/src/main/java/org/spoolline/fleet/Fleet.java
@@ -238,10 +238,15 @@
             // A new leader has heard nobody yet: machines that are long up must not look as if they never came.
             boolean neverCame = !m.heard() && now - Math.max(m.knownSince(), electedAt) > patience;
             boolean lost = m.heard() && now - m.heardAt() > Constants.LOST_MS;
-            boolean deaf = m.deaf() && now - m.deafSince() > Constants.LOST_MS;
-            if (holdsWork.test(m.name())) {
+            // What a deaf machine still holds has lost its lease; one that never heard this leader can't say so, and only
+            // its end proves it.
+            boolean holds = holdsWork.test(m.name());
+            boolean deaf = m.deaf() && now - m.deafSince() > (holds ? settings.silenceMs() : Constants.LOST_MS);
+            if (holds) {
                 m.busyAt(now);
-                continue;
+                if (!deaf) {
+                    continue;
+                }
             }
             boolean idle = m.heard() && now - m.idleSince() > (m.spot() ? settings.operator().idleSpotMs()
                     : Math.max(settings.operator().idleMs(), type == null ? 0 : (long) (type.bootS() * 1000)))
--- a/src/main/java/org/spoolline/workers/Evidence.java
+++ b/src/main/java/org/spoolline/workers/Evidence.java
@@ -31,26 +31,36 @@
 
     /** Judges one attempt; {@code machine} is null when it is not known at all. */
     public Finding judge(String uid, Attempt attempt, Machine machine, long now) {
-        if (machine != null) {
-            if (machine.gone() || machine.session() > attempt.session()) {
-                return GONE;
-            }
-            if (machine.session() == attempt.session()) {
-                Machine.Start start = Machine.Start.of(uid, attempt);
-                TaskReport report = machine.tasks().get(start);
-                if (report != null && report.phase() == TaskReport.Phase.EXITED) {
-                    return new Finding(Verdict.EXITED, report);
-                }
-                if (silent(machine, now)) {
-                    return GONE;
-                }
-                if (report != null) {
-                    return new Finding(Verdict.ALIVE, report);
-                }
-                return machine.hasSeen(token) && !machine.launchPending(start) ? ABSENT : UNKNOWN;
-            }
+        if (machine == null) {
+            return silent(null, now) ? GONE : UNKNOWN;
         }
-        return silent(machine, now) ? GONE : UNKNOWN;
+        if (machine.gone()) {
+            return GONE;
+        }
+        Finding reported = reported(uid, attempt, machine);
+        boolean over = reported.verdict() == Verdict.EXITED || reported.verdict() == Verdict.GONE;
+        return !over && silent(machine, now) ? GONE : reported;
+    }
+
+    /**
+     * What the newest report proves. A machine that is back at once counts its sessions and reports from the start: a
+     * copy of what it said before looks newer than its present word, but can't show a token first shown since.
+     */
+    private Finding reported(String uid, Attempt attempt, Machine machine) {
+        boolean present = machine.hasSeen(token);
+        if (machine.session() != attempt.session()) {
+            // A later session, or an earlier one of a later life: whoever shows our token lived after the attempt's.
+            return present ? GONE : UNKNOWN;
+        }
+        Machine.Start start = Machine.Start.of(uid, attempt);
+        TaskReport report = machine.tasks().get(start);
+        if (report == null) {
+            return present && !machine.launchPending(start) ? ABSENT : UNKNOWN;
+        }
+        if (report.phase() != TaskReport.Phase.EXITED) {
+            return new Finding(Verdict.ALIVE, report);
+        }
+        return present ? new Finding(Verdict.EXITED, report) : UNKNOWN;
     }
 
     /** True when nobody can have answered the machine for so long that its lease has ended. */
--- a/src/main/java/org/spoolline/workers/Machine.java
+++ b/src/main/java/org/spoolline/workers/Machine.java
@@ -238,9 +238,12 @@
     /** What a report brings: nothing, since it is an older one; no change but that the machine is there; news. */
     public enum Brings { NOTHING, A_SIGN_OF_LIFE, NEWS }
 
-    /** Takes a report over if it is newer than what is known; late ones change nothing. */
+    /**
+     * Takes a report over if it is newer than what is known; late ones change nothing. A worker's highest token only
+     * grows: a report that shows a lower one than before is of another life of the machine, whatever its numbers say.
+     */
     public Brings accept(Report report, long leaseMs, long now) {
-        if (!report.newerThan(session, tick)) {
+        if (!report.newerThan(session, tick) || report.token() < reportedToken) {
             return Brings.NOTHING;
         }
         listen(report, leaseMs, now);
--- a/src/test/java/org/spoolline/world/FakeCloud.java
+++ b/src/test/java/org/spoolline/world/FakeCloud.java
@@ -72,7 +72,7 @@
             Json.read(request.body()).path("spoolers").forEach(n -> take(n.asText()));
             reply.accept(Http.Response.of(200, Json.bytes(Json.object())));
         } else {
-            list(reply);
+            list(path, reply);
         }
     }
 
@@ -125,6 +125,10 @@
         reply.accept(Http.Response.of(200, Json.bytes(answer)));
     }
 
+    boolean holds(String name) {
+        return rented.containsKey(name);
+    }
+
     /** The machine and all that is on it are gone. */
     public void take(String name) {
         rented.remove(name);
@@ -134,7 +138,7 @@
         }
     }
 
-    private void list(Consumer<Http.Response> reply) {
+    private void list(String path, Consumer<Http.Response> reply) {
         long asOf = world.now() - LAG_MS - world.random.nextLong(LAG_MS);
         List<Rented> then = List.of();
         long at = 0;
@@ -144,9 +148,12 @@
                 at = entry.getKey();
             }
         }
-        ObjectNode body = Json.object().put("hasNext", false);
+        String after = path.replaceAll(".*after=([^&]*).*", "$1");
+        int most = Integer.parseInt(path.replaceAll(".*most=(\\d+).*", "$1"));
+        List<Rented> rest = then.stream().filter(r -> r.name().compareTo(after) > 0).toList();
+        ObjectNode body = Json.object().put("hasNext", rest.size() > most);
         ArrayNode machines = body.putArray("spoolers");
-        for (Rented r : then) {
+        for (Rented r : rest.subList(0, Math.min(most, rest.size()))) {
             machines.addObject().put("uid", r.name()).put("addr", r.name() + ":9").put("build", r.type())
                     .put("yard", r.zone()).put("standby", r.spot()).put("status", "running")
                     .put("heldS", (at - r.at()) / 1000.0);
--- a/src/test/java/org/spoolline/world/FakeWorker.java
+++ b/src/test/java/org/spoolline/world/FakeWorker.java
@@ -98,6 +98,16 @@
         endAll();
     }
 
+    /** Power loss, and up again under the same name so soon that nobody missed it: all it knew is gone. */
+    public void dieAndBeBack(double seconds) {
+        die();
+        world.at((long) (seconds * 1000), () -> {
+            if (world.cloud.holds(name)) {
+                world.workers.put(name, new FakeWorker(world, name, type, zone, spot));
+            }
+        });
+    }
+
     public void hang(double seconds) {
         hung = true;
         world.at((long) (seconds * 1000), () -> {
--- a/src/test/java/org/spoolline/world/StoriesTest.java
+++ b/src/test/java/org/spoolline/world/StoriesTest.java
@@ -296,6 +296,112 @@
         });
     }
 
+    /** The worker of a machine that is back at once knows nothing of its tasks, tokens and messages of before. */
+    @Test
+    void machinesAreBackWithinAFractionOfASecond() {
+        day(400, world -> {
+            world.copyReports(30_000);
+            for (int i = 0; i < 6; i++) {
+                world.at(i * 9_000L, () -> busy(world).dieAndBeBack(0.3));
+            }
+            world.at(20_000, () -> world.crashFor(leader(world), 0.3));
+            world.at(20_200, () -> busy(world).dieAndBeBack(0.1));
+            world.at(90_000, () -> world.copyReports(0));
+        });
+    }
+
+    /** On waking, nothing that was queued may be answered on the strength of a leadership that has ended. */
+    @Test
+    void theLeaderStandsStillForLongerThanALeaseWhileItsClocksRunOn() {
+        day(400, world -> {
+            String first = leader(world);
+            world.freeze(first, 24);
+            world.at(60_000, () -> world.freeze(leader(world), 3));
+            world.at(80_000, () -> {
+                world.freeze(leader(world), 26);
+                world.copyReports(20_000);
+            });
+            world.at(130_000, () -> world.copyReports(0));
+        });
+    }
+
+    /** Many times the usual machines, in two teams' arrays and gangs; the fleet's troubles strike at 70 s. */
+    private static void fleet(int seed, Trouble trouble) {
+        World world = new World(seed, 200, 500);
+        world.cloud.capacity = 190;
+        world.run(8);
+        for (int i = 0; i < 10; i++) {
+            int n = i;
+            world.at(i * 4_000L, () -> {
+                world.users.submit(world.users.job("blue", "batch", 200 + 20 * n, 8, 30).with("lane", "wide"));
+                world.users.submit(world.users.job("red", "group", n % 2 == 0 ? 24 : 4, 7, 40).with("lane", "gang")
+                        .with("samePlace", true).with("urgency", "urgent").with("bookmarkS", 5.0));
+            });
+        }
+        world.run(70);
+        trouble.strike(world);
+        world.at(120_000, world.rules::troublesAreOver);
+        world.run(330);
+        world.rules.dayIsOver();
+        assertEquals(List.of(), world.rules.broken(), "seed " + seed);
+        for (Users.Job job : world.users.jobs()) {
+            assertEquals("done", job.status(), "seed " + seed + ": " + job.uid());
+        }
+    }
+
+    private static List<FakeWorker> some(World world, int count) {
+        return world.workers().values().stream().filter(w -> !w.dead()).limit(count).toList();
+    }
+
+    @Test
+    void aFleetIsServedWhileAllControllersAreBackAtOnceAlsoInAnElection() {
+        fleet(1, w -> {
+            assertTrue(some(w, 2_000).size() > 1_000, "machines: " + some(w, 2_000).size());
+            for (int i = 0; i < 3; i++) {
+                String node = "node-" + i;
+                w.crashFor(node, 0.3);
+                w.at(600, () -> w.crashFor(node, 0.1));
+                w.at(30_000, () -> w.crashFor(node, 4));
+            }
+            w.copyReports(30_000);
+            w.at(100_000, () -> w.copyReports(0));
+        });
+    }
+
+    /** Each nudge holds a socket until its time is over: hundreds at once would leave none for the state service. */
+    @Test
+    void ordersForHundredsOfSilentMachinesTakeFewSocketsAtOnce() {
+        World world = new World(3, 40);
+        world.cloud.capacity = 60;
+        world.run(8);
+        Users.Job job = world.users.submit(world.users.job("blue", "batch", 250, 8, 300));
+        world.run(50);
+        world.workers().values().forEach(w -> w.hang(9));
+        int before = world.mostToWorkers;
+        world.users.cancel(job);
+        world.run(60);
+        int most = world.settings("node-0").nudgesAtOnce();
+        assertEquals(most, world.mostToWorkers, "before: " + before);
+        assertEquals("aborted", job.status());
+        assertEquals(List.of(), world.rules.broken());
+    }
+
+    @Test
+    void aFleetIsServedDespiteACutOfHundredsOfMachinesACrashAndAStandstill() {
+        fleet(2, w -> {
+            for (FakeWorker worker : some(w, 200)) {
+                for (int i = 0; i < 3; i++) {
+                    String node = "node-" + i;
+                    w.cut(worker.name, node, World.Cut.HOLD);
+                    w.at(45_000, () -> w.cut(worker.name, node, World.Cut.NONE));
+                }
+            }
+            w.at(4_000, () -> w.crashFor(leader(w), 6));
+            w.at(20_000, () -> some(w, 400).subList(300, 400).forEach(FakeWorker::die));
+            w.at(70_000, () -> w.freeze(leader(w), 26));
+        });
+    }
+
     /** A node that was back at once had to wait for the lease of its own earlier life. */
     @Test
     void aLeaderThatIsBackAtOnceNeedNotWaitForItself() {
--- a/src/test/java/org/spoolline/world/World.java
+++ b/src/test/java/org/spoolline/world/World.java
@@ -36,6 +36,20 @@
         Controller controller;
         int life;
         boolean up;
+        /** Until then it stands still while its clocks run on. */
+        long frozenUntil;
+
+        /** Runs what this life of the process is to do; once it is awake, if it stands still. */
+        void act(int inLife, Runnable what) {
+            if (!up || life != inLife) {
+                return;
+            }
+            if (now < frozenUntil) {
+                at(frozenUntil - now, () -> act(inLife, what));
+            } else {
+                what.run();
+            }
+        }
 
         Node(int index) {
             name = "node-" + index;
@@ -168,6 +182,7 @@
     public void startNode(String name) {
         Node node = nodes.get(name);
         node.up = true;
+        node.frozenUntil = 0;
         int life = ++node.life;
         Loop loop = new Loop() {
             @Override
@@ -182,20 +197,12 @@
 
             @Override
             public void after(long delayMs, Runnable task) {
-                at(delayMs, () -> {
-                    if (node.up && node.life == life) {
-                        task.run();
-                    }
-                });
+                at(delayMs, () -> node.act(life, task));
             }
         };
         Http.Caller caller = (target, method, path, body, timeoutMs, done) ->
                 call(name, target, new Http.Request(method, path, "", body == null ? new byte[0] : body), timeoutMs,
-                        reply -> {
-                            if (node.up && node.life == life) {
-                                done.accept(reply);
-                            }
-                        });
+                        reply -> node.act(life, () -> done.accept(reply)));
         node.controller = new Controller(settings(name), loop, caller, random.split());
         node.controller.start();
     }
@@ -204,6 +211,11 @@
         nodes.get(name).up = false;
     }
 
+    /** The process stands still; its clocks run on, and all that came for it meanwhile is met at once afterwards. */
+    public void freeze(String name, double seconds) {
+        nodes.get(name).frozenUntil = now + (long) (seconds * 1000);
+    }
+
     public void crashFor(String name, double seconds) {
         crash(name);
         at((long) (seconds * 1000), () -> startNode(name));
@@ -247,31 +259,34 @@
         }
     }
 
+    /** Requests under way from one host to workers at this moment, and the most there were. */
+    private final Map<String, Integer> toWorkers = new HashMap<>();
+    int mostToWorkers;
+
     /** Sends a request from one host to an address; the reply has status 0 when none came in time. */
     void call(String from, String target, Http.Request request, long timeoutMs, Consumer<Http.Reply> done) {
         String host = target.substring(0, target.indexOf(':'));
+        boolean toWorker = isWorker(host);
+        if (toWorker) {
+            mostToWorkers = Math.max(mostToWorkers, toWorkers.merge(from, 1, Integer::sum));
+        }
         boolean[] over = new boolean[1];
-        at(timeoutMs, () -> {
+        Consumer<Http.Reply> end = reply -> {
             if (!over[0]) {
                 over[0] = true;
-                done.accept(Http.Reply.NONE);
+                if (toWorker) {
+                    toWorkers.merge(from, -1, Integer::sum);
+                }
+                done.accept(reply);
             }
-        });
-        Consumer<Http.Response> reply = response -> deliver(host, from, () -> {
-            if (!over[0]) {
-                over[0] = true;
-                done.accept(new Http.Reply(response.status(), response.body()));
-            }
-        });
+        };
+        at(timeoutMs, () -> end.accept(Http.Reply.NONE));
+        Consumer<Http.Response> reply = response -> deliver(host, from,
+                () -> end.accept(new Http.Reply(response.status(), response.body())));
         if (copiesUpToMs > 0 && request.path().equals("/checkin")) {
             at(1_000 + random.nextLong(copiesUpToMs), () -> receive(target, host, request, late -> { }, () -> { }));
         }
-        deliver(from, host, () -> receive(target, host, request, reply, () -> {
-            if (!over[0]) {
-                over[0] = true;
-                done.accept(Http.Reply.NONE);
-            }
-        }));
+        deliver(from, host, () -> receive(target, host, request, reply, () -> end.accept(Http.Reply.NONE)));
     }
 
     private void deliver(String from, String to, Runnable delivery) {
@@ -331,10 +346,14 @@
                 rogue.handle(request, reply);
             } else if (!node.up) {
                 at(1, refused);
-            } else if (target.equals(node.address)) {
-                node.controller.serve(request, reply);
             } else {
-                node.controller.servePeer(request, reply);
+                node.act(node.life, () -> {
+                    if (target.equals(node.address)) {
+                        node.controller.serve(request, reply);
+                    } else {
+                        node.controller.servePeer(request, reply);
+                    }
+                });
             }
         }
     }
