--- a/src/main/java/org/spoolline/fleet/Fleet.java
+++ b/src/main/java/org/spoolline/fleet/Fleet.java
@@ -77,8 +77,11 @@
         term = 0;
     }
 
-    /** One pass: asks for the list when it is due, rents for the wants, returns idle, lost and failed machines. */
-    public void pass(List<Placer.Want> wants, Predicate<String> holdsWork) {
+    /**
+     * One pass: asks for the list when it is due, rents for the wants, returns idle, lost and failed machines.
+     * {@code askedCores}: what jobs have asked for lately, the room that idle machines are kept for.
+     */
+    public void pass(List<Placer.Want> wants, double askedCores, Predicate<String> holdsWork) {
         long now = loop.now();
         if (now - listAskedAt >= Math.max(Constants.LIST_MIN_MS, settings.cloud().listLagMs() / 2)
                 && budget.take(1, now)) {
@@ -93,7 +96,7 @@
             return;
         }
         rent(wants, now);
-        giveBack(holdsWork, now);
+        giveBack(askedCores, holdsWork, now);
     }
 
     private void list(String after, Set<String> seen, long askedAt, long mine) {
@@ -226,8 +229,9 @@
         });
     }
 
-    private void giveBack(Predicate<String> holdsWork, long now) {
+    private void giveBack(double askedCores, Predicate<String> holdsWork, long now) {
         List<Machine> back = new ArrayList<>();
+        double kept = 0;
         for (Machine m : machines.all()) {
             if (m.gone() || returning.contains(m.name())) {
                 continue;
@@ -248,9 +252,15 @@
                     continue;
                 }
             }
-            boolean idle = m.heard() && now - m.idleSince() > (m.spot() ? settings.operator().idleSpotMs()
-                    : Math.max(settings.operator().idleMs(), type == null ? 0 : (long) (type.bootS() * 1000)))
+            long idleMs = m.spot() ? settings.operator().idleSpotMs() : settings.operator().idleMs();
+            boolean idle = m.heard() && now - m.idleSince() > idleMs
                     && now - m.knownSince() > Constants.MIN_CHARGE_MS;
+            if (idle && !m.spot() && type != null && now - m.idleSince() <= type.bootS() * 1000
+                    && kept + type.cores() <= askedCores) {
+                // The next job is likely to find its room here rather than wait for a boot.
+                kept += type.cores();
+                idle = false;
+            }
             if (neverCame || lost || deaf || idle || m.draining() && m.heard()) {
                 if (!m.draining()) {
                     LOG.info("return {}: {}", m.name(), neverCame ? "never came up" : lost ? "lost" : deaf ? "deaf"
--- a/src/main/java/org/spoolline/placement/Rounds.java
+++ b/src/main/java/org/spoolline/placement/Rounds.java
@@ -329,11 +329,18 @@
         Set<String> coming = machinesWithWorkComing();
         coming.addAll(plan.gathering());
         reservations.values().forEach(r -> coming.addAll(r.clearing().machines()));
-        fleet.pass(plan.wants(), name -> jobs.anyOn(name) || coming.contains(name));
+        fleet.pass(plan.wants(), askedCores(working.values()), name -> jobs.anyOn(name) || coming.contains(name));
         // Reports whose launches wait for the state budget are held on: the next regular one is seconds away.
         tell(txnsInFlight == 0 && all);
     }
 
+    /** Cores that the jobs accepted lately have asked for. */
+    private double askedCores(Collection<Pipeline> all) {
+        long since = loop.timeOfDay() - Constants.ASKED_MS;
+        return all.stream().filter(p -> p.acceptedAt() > since)
+                .mapToDouble(p -> p.spec().cores() * p.spec().tasks()).sum();
+    }
+
     /** What machines have reported concerns their attempts; it is judged until a write has settled it. */
     private void noteNews() {
         for (Machine machine : heard) {
--- a/src/main/java/org/spoolline/settings/Constants.java
+++ b/src/main/java/org/spoolline/settings/Constants.java
@@ -169,6 +169,11 @@
     public static final int DELETE_MAX = 100;
     /** Ms an idle machine is kept: long enough for the work just freed or accepted to be placed on it. */
     public static final long IDLE_MS = 6_000;
+    /**
+     * Ms of arrivals for which idle machines are kept beyond that: room for as many cores as jobs have asked for lately,
+     * about a boot time. When a fleet empties, hundreds of machines idle for nobody.
+     */
+    public static final long ASKED_MS = 30_000;
     /** Ms an idle spot machine is kept: it costs a fraction, and its place may be refused later. */
     public static final long IDLE_SPOT_MS = 20_000;
     /** Ms every machine costs at least; younger ones gain nothing by an early return. */
