--- a/src/main/java/org/spoolline/pipeline/Submission.java
+++ b/src/main/java/org/spoolline/pipeline/Submission.java
@@ -32,6 +32,11 @@
         return saves() ? saveS + 1 : 0;
     }
 
+    /** Seconds of run time that a stop without grace throws away after so many. */
+    public double unsavedS(double ranS) {
+        return saves() ? ranS % checkpointS : ranS;
+    }
+
     /** Seconds of run time that are lost, on average, when one task's machine vanishes; a gang loses them in each task. */
     public double lossS() {
         double once = (saves() ? Math.min(checkpointS, estimateS) : estimateS) / 2;
--- a/src/main/java/org/spoolline/placement/Preemption.java
+++ b/src/main/java/org/spoolline/placement/Preemption.java
@@ -27,11 +27,21 @@
 final class Preemption {
     /** A task that may have to leave its machine. */
     private record Victim(Pipeline job, Attempt attempt, Machine machine) {
+        private double unsavedS(long now) {
+            return job.spec().unsavedS(machine.ranMs(Machine.Start.of(job.uid(), attempt), now) / 1000.0);
+        }
+
         /** Core seconds that a stop throws away. */
         double loss(long now) {
-            double ran = machine.ranMs(Machine.Start.of(job.uid(), attempt), now) / 1000.0;
             Submission spec = job.spec();
-            return spec.cores() * (spec.saves() ? Math.min(ran, spec.saveS()) : ran);
+            double unsaved = unsavedS(now);
+            return spec.cores() * (spec.saves() ? Math.min(unsaved, spec.saveS()) : unsaved);
+        }
+
+        /** Saving occupies the room that others wait for: no grace where it would take about as long as what it saves. */
+        double graceS(long now) {
+            Submission spec = job.spec();
+            return unsavedS(now) <= Constants.SAVES_WORTH * spec.saveS() ? 0 : spec.stopGraceS();
         }
     }
 
@@ -101,7 +111,7 @@
             taken.add(c.node().machine.name());
             c.node().reserve(job.uid());
             for (Victim v : c.victims()) {
-                leaving.put(Machine.Start.of(v.job().uid(), v.attempt()), v.job().spec().stopGraceS());
+                leaving.put(Machine.Start.of(v.job().uid(), v.attempt()), v.graceS(picture.now()));
             }
         }
         clearings.add(new Placer.Clearing(job.uid(), machines, leaving, warm));
--- a/src/main/java/org/spoolline/settings/Constants.java
+++ b/src/main/java/org/spoolline/settings/Constants.java
@@ -119,6 +119,11 @@
      * costs in launch and fetch.
      */
     public static final double SPOT_LOSS_S = 15;
+    /**
+     * Times its save time that a task must have run since its checkpoint for a save to be worth it when its room is
+     * waited for: saving takes the task's time and the waiting one's.
+     */
+    public static final double SAVES_WORTH = 2;
     /** Ms after which machines cleared for a job that has still not started there are given free again. */
     public static final long RESERVED_MS = 20_000;
 
--- a/src/test/java/org/spoolline/world/World.java
+++ b/src/test/java/org/spoolline/world/World.java
@@ -23,7 +23,7 @@
  * story replays the same for the same seed. Whatever tasks do is seen by {@link Rules}.
  */
 public final class World {
-    static final long START_OF_DAY = 1_700_000_000_000L;
+    public static final long START_OF_DAY = 1_700_000_000_000L;
 
     private record Event(long at, long order, Runnable action) {
     }
