--- a/src/main/java/org/spoolline/placement/Node.java
+++ b/src/main/java/org/spoolline/placement/Node.java
@@ -27,6 +27,11 @@
         reservedFor = uid;
     }
 
+    /** Share of its cores that is in use. */
+    double usedShare() {
+        return 1 - cores() / type.cores();
+    }
+
     /** True when the job may use this machine, room apart. */
     boolean openTo(Pipeline job) {
         return allows(job.spec()) && !job.avoids(machine.name())
--- a/src/main/java/org/spoolline/placement/Picture.java
+++ b/src/main/java/org/spoolline/placement/Picture.java
@@ -1,11 +1,13 @@
 package org.spoolline.placement;
 
+import java.util.Collection;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import org.spoolline.fleet.MachineType;
 import org.spoolline.pipeline.Attempt;
 import org.spoolline.pipeline.Pipeline;
+import org.spoolline.settings.Constants;
 import org.spoolline.settings.Settings;
 import org.spoolline.workers.Machine;
 
@@ -18,9 +20,16 @@
  * @param reserved   machines that are being cleared, with the job they are cleared for
  * @param warm        ids of gangs for which machines with their image have been cleared, once each
  * @param usable      machines that take work now
+ * @param mayVacate   true when machines emptied in favour of others have had the time to be
  */
 public record Picture(List<Pipeline> jobs, Map<String, List<Attempt>> holding, Set<String> placeable,
                       Map<String, Machine> machines, List<Machine> usable,
                       Map<String, String> reserved, Set<String> warm, Map<String, MachineType> types, Settings settings,
-                      long timeOfDay, long now) {
+                      boolean mayVacate, long timeOfDay, long now) {
+
+    /** Cores that the jobs accepted lately have asked for: room for as much is kept free. */
+    static double askedCores(Collection<Pipeline> jobs, long timeOfDay) {
+        return jobs.stream().filter(p -> p.acceptedAt() > timeOfDay - Constants.ASKED_MS)
+                .mapToDouble(p -> p.spec().cores() * p.spec().tasks()).sum();
+    }
 }
--- a/src/main/java/org/spoolline/placement/Placer.java
+++ b/src/main/java/org/spoolline/placement/Placer.java
@@ -37,9 +37,12 @@
     public record Clearing(String uid, Set<String> machines, Map<Machine.Start, Double> leaving, boolean warm) {
     }
 
-    /** What to start, what found no room, most urgent first, what to clear for it, and machines that room gathers on. */
+    /**
+     * What to start, what found no room, most urgent first, what to clear for it, machines that room gathers on, and
+     * machines to be emptied since their work fits others.
+     */
     public record Plan(Map<String, List<Placement>> placements, List<Want> wants, List<Clearing> clearings,
-                       Set<String> gathering) {
+                       Set<String> gathering, Set<String> vacated) {
     }
 
     private final Picture picture;
@@ -92,7 +95,9 @@
             }
             place(job);
         }
-        return new Plan(placements, wants, preemption.clear(wants), gathering);
+        boolean surplus = wants.isEmpty() && placements.isEmpty() && picture.mayVacate();
+        return new Plan(placements, wants, preemption.clear(wants), gathering,
+                surplus ? Consolidation.vacated(picture, nodes) : Set.of());
     }
 
     private Collection<Attempt> held(Pipeline job) {
--- a/src/main/java/org/spoolline/placement/Rounds.java
+++ b/src/main/java/org/spoolline/placement/Rounds.java
@@ -79,6 +79,8 @@
     /** Jobs whose value has no room for more attempts, with the time until which their turn goes to others. */
     private final Map<String, Long> fullUntil = new HashMap<>();
     private long sweptAt;
+    /** When machines were last emptied in favour of others. */
+    private long vacatedAt;
     private final Map<String, Reservation> reservations = new LinkedHashMap<>();
     /** Gangs for which machines with their image have been cleared: once each, so that none waits for long. */
     private final Set<String> warm = new HashSet<>();
@@ -146,6 +148,7 @@
         alone.clear();
         fullUntil.clear();
         sweptAt = loop.now();
+        vacatedAt = loop.now();
         load(token);
         tick(token);
     }
@@ -322,6 +325,11 @@
             LOG.info("clearing {} for {}: {} tasks leave", clearing.machines(), clearing.uid(),
                     clearing.leaving().size());
         }
+        if (!plan.vacated().isEmpty()) {
+            vacatedAt = loop.now();
+            LOG.info("emptying {} machines, whose tasks fit others", plan.vacated().size());
+            plan.vacated().forEach(name -> machines.get(name).vacate());
+        }
         plan.placements().forEach((uid, placed) -> place(uid, placed, changes));
         lastBatch = changes.size();
         List<Change> ordered = inOrder(changes);
@@ -329,18 +337,11 @@
         Set<String> coming = machinesWithWorkComing();
         coming.addAll(plan.gathering());
         reservations.values().forEach(r -> coming.addAll(r.clearing().machines()));
-        fleet.pass(plan.wants(), askedCores(working.values()), name -> jobs.anyOn(name) || coming.contains(name));
+        fleet.pass(plan.wants(), Picture.askedCores(working.values(), loop.timeOfDay()), name -> jobs.anyOn(name) || coming.contains(name));
         // Reports whose launches wait for the state budget are held on: the next regular one is seconds away.
         tell(txnsInFlight == 0 && all);
     }
 
-    /** Cores that the jobs accepted lately have asked for. */
-    private double askedCores(Collection<Pipeline> all) {
-        long since = loop.timeOfDay() - Constants.ASKED_MS;
-        return all.stream().filter(p -> p.acceptedAt() > since)
-                .mapToDouble(p -> p.spec().cores() * p.spec().tasks()).sum();
-    }
-
     /** What machines have reported concerns their attempts; it is judged until a write has settled it. */
     private void noteNews() {
         for (Machine machine : heard) {
@@ -395,7 +396,7 @@
             return Placer.plan(picture(working));
         } catch (RuntimeException e) {
             LOG.error("no plan can be made", e);
-            return new Placer.Plan(Map.of(), List.of(), List.of(), Set.of());
+            return new Placer.Plan(Map.of(), List.of(), List.of(), Set.of(), Set.of());
         }
     }
 
@@ -489,9 +490,9 @@
         return changed;
     }
 
-    /** A task that can save leaves a machine that the cloud is about to take. */
+    /** A task that can save leaves a machine that the cloud is about to take, or that is emptied to be returned. */
     private boolean noticeStop(Submission spec, Machine machine, Attempt attempt, Pipeline job) {
-        if (machine == null || machine.noticeS() == null) {
+        if (machine == null || machine.noticeS() == null && !machine.vacating()) {
             return false;
         }
         TaskReport report = machine.tasks().get(Machine.Start.of(job.uid(), attempt));
@@ -599,7 +600,7 @@
         Map<String, String> reserved = new HashMap<>();
         reservations.forEach((uid, r) -> r.clearing().machines().forEach(m -> reserved.put(m, uid)));
         return new Picture(all, holding, placeable, machines.byName(), usable, reserved, warm, catalog.types(), settings,
-                loop.timeOfDay(), loop.now());
+                loop.now() - vacatedAt >= Constants.VACATE_MS, loop.timeOfDay(), loop.now());
     }
 
     /**
--- a/src/main/java/org/spoolline/settings/Constants.java
+++ b/src/main/java/org/spoolline/settings/Constants.java
@@ -179,6 +179,16 @@
      * about a boot time. When a fleet empties, hundreds of machines idle for nobody.
      */
     public static final long ASKED_MS = 30_000;
+    /** Ms between two times that machines are emptied in favour of others: their tasks have moved by then. */
+    public static final long VACATE_MS = 10_000;
+    /** Machines tried at one time: bounds the work of a round. */
+    public static final int VACATE_TRIES = 50;
+    /** Share of a machine's cores in use up to which it may be emptied. */
+    public static final double VACATE_SHARE = 0.5;
+    /** Seconds that a task must have run to be moved: starts stopped sooner were in vain. */
+    public static final double VACATE_RAN_S = 30;
+    /** Seconds that a task must be expected to go on for to be moved: it loses some ten. */
+    public static final double VACATE_LEFT_S = 20;
     /** Ms an idle spot machine is kept: it costs a fraction, and its place may be refused later. */
     public static final long IDLE_SPOT_MS = 20_000;
     /** Ms every machine costs at least; younger ones gain nothing by an early return. */
--- a/src/main/java/org/spoolline/workers/Machine.java
+++ b/src/main/java/org/spoolline/workers/Machine.java
@@ -51,6 +51,7 @@
     private long nudgedAt = Long.MIN_VALUE / 2;
     private boolean gone;
     private boolean draining;
+    private boolean vacating;
     private final Object2LongHashMap<Start> launchTicks = new Object2LongHashMap<>(NEVER);
     private final Map<Start, Long> runningSince = new HashMap<>();
     private final Set<String> errorJobs = new HashSet<>();
@@ -194,6 +195,17 @@
         draining = true;
     }
 
+    /** Its work is to move to other machines, and it is to be returned. */
+    public void vacate() {
+        draining = true;
+        vacating = true;
+    }
+
+    /** True when tasks that save are to leave it. */
+    public boolean vacating() {
+        return vacating;
+    }
+
     public long knownSince() {
         return knownSince;
     }
--- a/src/test/java/org/spoolline/placement/PreemptionTest.java
+++ b/src/test/java/org/spoolline/placement/PreemptionTest.java
@@ -42,7 +42,7 @@
         MachineType small = new MachineType("small", 8, 0, 64, 20, 1, 0.5, 0.2, 10, List.of("a"));
         return Placer.plan(new Picture(List.of(running, gang), new HashMap<>(), Set.of("run-000001", "run-000002"),
                 Map.of("m", machine), List.of(machine), Map.of(), Set.of(), Map.of("small", small),
-                new World(1).settings("node-0"), World.START_OF_DAY + 1_000, START + (long) (ranS * 1000)));
+                new World(1).settings("node-0"), false, World.START_OF_DAY + 1_000, START + (long) (ranS * 1000)));
     }
 
     private double graceAfter(double ranS) throws Exception {
