--- a/src/main/java/org/spoolline/Controller.java
+++ b/src/main/java/org/spoolline/Controller.java
@@ -30,6 +30,7 @@
     private final Rounds rounds;
     private final Fleet fleet;
     private final Peers peers;
+    private Runnable oriented = () -> { };
 
     public Controller(Settings settings, Loop loop, Http.Caller http, RandomGenerator random) {
         this.loop = loop;
@@ -59,6 +60,12 @@
                 checkIns::hearsWorkers);
     }
 
+    /** Starts; {@code onOriented} runs whenever this node has come to know who leads, itself or another. */
+    public void start(Runnable onOriented) {
+        oriented = onOriented;
+        start();
+    }
+
     public void start() {
         leadership.start();
         catalog.start();
@@ -105,6 +112,12 @@
         checkIns.ready(false);
         fleet.elected(token);
         rounds.elected(token);
+        oriented.run();
+    }
+
+    @Override
+    public void follows(String leader) {
+        oriented.run();
     }
 
     @Override
--- a/src/main/java/org/spoolline/cli/Main.java
+++ b/src/main/java/org/spoolline/cli/Main.java
@@ -7,6 +7,7 @@
 import java.util.Locale;
 import java.util.SplittableRandom;
 import java.util.concurrent.Callable;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 import org.slf4j.Logger;
@@ -153,9 +154,13 @@
             UndertowServer server = new UndertowServer(worker, buffers, settings.backlog(), guard);
             log.info("{} is to serve users and workers on {}, controllers on {}", settings.node(), settings.serveOn(),
                     settings.internalAddress());
-            listen(server, settings.serveOn(), controller::serve);
+            // After a crash of all controllers a thousand workers come at once, to a process that is cold: they would keep
+            // it from the election that it takes to serve any of them. Until it knows who leads it has no answer anyway.
+            CountDownLatch oriented = new CountDownLatch(1);
+            thread.execute(() -> controller.start(oriented::countDown));
             listen(server, settings.internalAddress(), controller::servePeer);
-            thread.execute(controller::start);
+            oriented.await(Constants.ORIENT_MS, TimeUnit.MILLISECONDS);
+            listen(server, settings.serveOn(), controller::serve);
             // From here on the loop's thread is the only one that does anything; a virtual machine was seen to end in
             // the C library's read while the thread that started it was still winding up.
             worker.awaitTermination();
--- a/src/main/java/org/spoolline/leadership/Leadership.java
+++ b/src/main/java/org/spoolline/leadership/Leadership.java
@@ -26,6 +26,9 @@
     public interface Listener {
         void elected(long token, long keyVersion);
 
+        /** Another node is seen to lead. */
+        void follows(String leader);
+
         void deposed(String why);
     }
 
@@ -57,6 +60,11 @@
         observe();
     }
 
+    /** True from an election until the node gives way, be its time over or not. */
+    public boolean leads() {
+        return leading;
+    }
+
     /** True while this node may decide, commit and launch: checked at the moment of each answer. */
     public boolean valid() {
         return leading && loop.now() < validUntil;
@@ -172,6 +180,9 @@
         // Our own key, left to its end after giving way: nobody leads meanwhile.
         knownLeader = node.equals(settings.node()) ? null : node;
         knownToken = Math.max(knownToken, value.path("token").asLong());
+        if (knownLeader != null) {
+            listener.follows(knownLeader);
+        }
         state.watch(LEADER_KEY, version, watched -> {
             if (watched.reached() && !watched.changes().isEmpty()) {
                 StateClient.Change last = watched.changes().get(watched.changes().size() - 1);
--- a/src/main/java/org/spoolline/settings/Constants.java
+++ b/src/main/java/org/spoolline/settings/Constants.java
@@ -29,6 +29,8 @@
     public static final int EXIT_ERROR = 3;
     /** Tries to listen on an address that a process just ended may still hold. */
     public static final int BIND_TRIES = 8;
+    /** Ms that a node takes at most to learn who leads before it listens: longer than an election, shorter than a lease. */
+    public static final long ORIENT_MS = 1_500;
     /** Ms between these tries. */
     public static final long BIND_RETRY_MS = 250;
 
--- a/src/main/java/org/spoolline/workers/CheckIns.java
+++ b/src/main/java/org/spoolline/workers/CheckIns.java
@@ -81,6 +81,12 @@
     }
 
     public void handle(Http.Request request, Consumer<Http.Response> answer) {
+        if (!leadership.leads()) {
+            // Unread: after a crash of all controllers a thousand workers come at once to processes that are cold.
+            lastHeardAt = loop.now();
+            redirect(answer);
+            return;
+        }
         Report report = Report.parse(request.body());
         if (report == null) {
             answer.accept(Http.Response.of(400, Json.error("not a check-in")));
@@ -89,7 +95,7 @@
         leadership.workerSawToken(report.token());
         if (!leadership.mayKeepAlive()) {
             lastHeardAt = loop.now();
-            redirect(report.machine(), answer);
+            redirect(answer);
             return;
         }
         Machine machine = machines.meet(report.machine(), report.type(), report.zone(), report.spot(), loop.now());
@@ -229,9 +235,8 @@
         return false;
     }
 
-    private void redirect(String machine, Consumer<Http.Response> answer) {
+    private void redirect(Consumer<Http.Response> answer) {
         String leader = leadership.knownLeader();
-        LOG.debug("{} is sent on to {}", machine, leader);
         if (leader == null) {
             answer.accept(Http.Response.of(503, Json.error("no leader is known")));
         } else {
