--- a/src/main/java/org/spoolline/placement/Preemption.java
+++ b/src/main/java/org/spoolline/placement/Preemption.java
@@ -25,23 +25,19 @@
  * reservation lapses.
  */
 final class Preemption {
-    /** A task that may have to leave its machine. */
-    private record Victim(Pipeline job, Attempt attempt, Machine machine) {
-        private double unsavedS(long now) {
-            return job.spec().unsavedS(machine.ranMs(Machine.Start.of(job.uid(), attempt), now) / 1000.0);
-        }
-
-        /** Core seconds that a stop throws away. */
-        double loss(long now) {
-            Submission spec = job.spec();
-            double unsaved = unsavedS(now);
-            return spec.cores() * (spec.saves() ? Math.min(unsaved, spec.saveS()) : unsaved);
-        }
-
-        /** Saving occupies the room that others wait for: no grace where it would take about as long as what it saves. */
-        double graceS(long now) {
+    /**
+     * A task that may have to leave its machine.
+     *
+     * @param loss   core seconds that a stop throws away
+     * @param graceS saving occupies the room that others wait for: none where it would take about as long as it saves
+     */
+    private record Victim(Pipeline job, Attempt attempt, double loss, double graceS) {
+        static Victim of(Pipeline job, Attempt attempt, Machine machine, long now) {
             Submission spec = job.spec();
-            return unsavedS(now) <= Constants.SAVES_WORTH * spec.saveS() ? 0 : spec.stopGraceS();
+            double unsavedS = spec.unsavedS(machine.ranMs(Machine.Start.of(job.uid(), attempt), now) / 1000.0);
+            boolean atOnce = !spec.saves() || unsavedS <= Constants.SAVES_WORTH * spec.saveS();
+            return new Victim(job, attempt, spec.cores() * (atOnce ? unsavedS : spec.saveS()),
+                    atOnce ? 0 : spec.stopGraceS());
         }
     }
 
@@ -52,6 +48,7 @@
     private final Picture picture;
     private final List<Node> nodes;
     private final Map<String, List<Victim>> victims = new HashMap<>();
+    private final Map<String, Double> lossPerCore = new HashMap<>();
     private boolean collected;
     private final Set<String> taken = new HashSet<>();
     private final Set<String> within;
@@ -111,7 +108,7 @@
             taken.add(c.node().machine.name());
             c.node().reserve(job.uid());
             for (Victim v : c.victims()) {
-                leaving.put(Machine.Start.of(v.job().uid(), v.attempt()), v.graceS(picture.now()));
+                leaving.put(Machine.Start.of(v.job().uid(), v.attempt()), v.graceS());
             }
         }
         clearings.add(new Placer.Clearing(job.uid(), machines, leaving, warm));
@@ -137,7 +134,7 @@
             for (Attempt a : union == null ? job.attempts() : union) {
                 Machine machine = picture.machines().get(a.machine());
                 if (machine != null) {
-                    victims.computeIfAbsent(a.machine(), m -> new ArrayList<>()).add(new Victim(job, a, machine));
+                    victims.computeIfAbsent(a.machine(), m -> new ArrayList<>()).add(Victim.of(job, a, machine, picture.now()));
                 }
             }
         }
@@ -175,19 +172,30 @@
         return best;
     }
 
-    /** Machines from which savers leave for up to so many tasks of an array. */
+    /** Machines from which savers leave for up to so many tasks of an array: where least is lost and fetched. */
     private List<Choice> room(Pipeline job, int tasks) {
         Submission spec = job.spec();
+        if (spec.oneZone() || spec.spread()) {
+            return List.of();
+        }
+        List<Node> cheapest = new ArrayList<>();
+        for (Node node : nodes) {
+            if (node.reservedFor() == null && node.openTo(job) && victims.containsKey(node.machine.name())
+                    && !taken.contains(node.machine.name())) {
+                cheapest.add(node);
+            }
+        }
+        cheapest.sort(Comparator.comparingDouble(n -> n.fetchS(spec)
+                + lossPerCore.computeIfAbsent(n.machine.name(), this::lossPerCore)));
         List<Choice> choices = new ArrayList<>();
         int cleared = 0;
-        for (Node node : nodes) {
-            if (cleared >= tasks || !victims.containsKey(node.machine.name()) || !node.openTo(job) || node.reservedFor() != null || spec.oneZone() || spec.spread()
-                    || taken.contains(node.machine.name())) {
-                continue;
+        for (Node node : cheapest) {
+            if (cleared >= tasks) {
+                break;
             }
             List<Victim> leaving = new ArrayList<>();
             Room free = node.copy();
-            for (Victim v : victims.getOrDefault(node.machine.name(), List.of())) {
+            for (Victim v : victims.get(node.machine.name())) {
                 if (cleared + Math.floor(free.cores() / spec.cores()) >= tasks) {
                     break;
                 }
@@ -207,6 +215,21 @@
         return choices;
     }
 
+    /** Seconds of run time that the savers of a machine would lose, on average over their cores; orders them by it too. */
+    private double lossPerCore(String machine) {
+        List<Victim> here = victims.get(machine);
+        here.sort(Comparator.comparingDouble(v -> v.loss() / v.job().spec().cores()));
+        double loss = 0;
+        double cores = 0;
+        for (Victim v : here) {
+            if (v.job().spec().saves()) {
+                loss += v.loss();
+                cores += v.job().spec().cores();
+            }
+        }
+        return cores == 0 ? 0 : loss / cores;
+    }
+
     private boolean mayTakeFrom(Pipeline job, Pipeline victim) {
         if (victim.spec().gang() || victim.uid().equals(job.uid())) {
             return false;
@@ -226,7 +249,7 @@
         List<Victim> here = new ArrayList<>(victims.getOrDefault(node.machine.name(), List.of()));
         here.removeIf(v -> v.job().spec().priority().compareTo(spec.priority()) >= 0);
         if (here.size() > 1) {
-            here.sort(Comparator.comparingDouble(v -> v.loss(picture.now())));
+            here.sort(Comparator.comparingDouble(Victim::loss));
         }
         for (Victim v : here) {
             if (free.fits(spec)) {
@@ -234,7 +257,7 @@
             }
             leaving.add(v);
             free.release(v.job().spec());
-            cost += v.loss(picture.now());
+            cost += v.loss();
         }
         return free.fits(spec) ? new Choice(node, leaving, cost) : null;
     }
