--- a/src/main/java/org/spoolline/settings/Constants.java
+++ b/src/main/java/org/spoolline/settings/Constants.java
@@ -29,6 +29,8 @@
     public static final int EXIT_ERROR = 3;
     /** Tries to listen on an address that a process just ended may still hold. */
     public static final int BIND_TRIES = 8;
+    /** Ms that a node takes at most to learn who leads before it listens: longer than an election, shorter than a lease. */
+    public static final long ORIENT_MS = 1_500;
     /** Ms between these tries. */
     public static final long BIND_RETRY_MS = 250;
 
@@ -119,6 +121,11 @@
      * costs in launch and fetch.
      */
     public static final double SPOT_LOSS_S = 15;
+    /**
+     * Times its save time that a task must have run since its checkpoint for a save to be worth it when its room is
+     * waited for: saving takes the task's time and the waiting one's.
+     */
+    public static final double SAVES_WORTH = 2;
     /** Ms after which machines cleared for a job that has still not started there are given free again. */
     public static final long RESERVED_MS = 20_000;
 
@@ -169,6 +176,21 @@
     public static final int DELETE_MAX = 100;
     /** Ms an idle machine is kept: long enough for the work just freed or accepted to be placed on it. */
     public static final long IDLE_MS = 6_000;
+    /**
+     * Ms of arrivals for which idle machines are kept beyond that: room for as many cores as jobs have asked for lately,
+     * about a boot time. When a fleet empties, hundreds of machines idle for nobody.
+     */
+    public static final long ASKED_MS = 30_000;
+    /** Ms between two times that machines are emptied in favour of others: their tasks have moved by then. */
+    public static final long VACATE_MS = 10_000;
+    /** Machines tried at one time: bounds the work of a round. */
+    public static final int VACATE_TRIES = 50;
+    /** Share of a machine's cores in use up to which it may be emptied. */
+    public static final double VACATE_SHARE = 0.5;
+    /** Seconds that a task must have run to be moved: starts stopped sooner were in vain. */
+    public static final double VACATE_RAN_S = 30;
+    /** Seconds that a task must be expected to go on for to be moved: it loses some ten. */
+    public static final double VACATE_LEFT_S = 20;
     /** Ms an idle spot machine is kept: it costs a fraction, and its place may be refused later. */
     public static final long IDLE_SPOT_MS = 20_000;
     /** Ms every machine costs at least; younger ones gain nothing by an early return. */
@@ -211,6 +233,10 @@
     public static final int JOBS_REMEMBERED = 4_096;
     /** Ms for which a job that was answered about leaves the last requests to others: half of the 75 s that any may wait. */
     public static final long POLL_TURN_MS = 40_000;
+    /** Ms for which polls gather that one request can settle, while few requests are left. */
+    public static final long POLLS_GATHER_MS = 40;
+    /** Conditions of a transaction for each change it may hold, by the protocol. */
+    public static final int CONDITIONS_PER_OP = 4;
     /** Seconds of retry advice when the service can't take a request now: budgets refill within one. */
     public static final int RETRY_AFTER_S = 1;
 }
