--- a/src/main/java/org/spoolline/placement/Consolidation.java
+++ b/src/main/java/org/spoolline/placement/Consolidation.java
@@ -1,7 +1,6 @@
 package org.spoolline.placement;
 
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
@@ -45,8 +44,7 @@
             return Set.of();
         }
         for (Pipeline job : picture.jobs()) {
-            Collection<Attempt> union = picture.holding().get(job.uid());
-            for (Attempt a : union == null ? job.attempts() : union) {
+            for (Attempt a : picture.held(job)) {
                 on.computeIfAbsent(a.machine(), m -> new ArrayList<>()).add(new Moving(job, a));
             }
         }
--- a/src/main/java/org/spoolline/placement/Picture.java
+++ b/src/main/java/org/spoolline/placement/Picture.java
@@ -27,6 +27,12 @@
                       Map<String, String> reserved, Set<String> warm, Map<String, MachineType> types, Settings settings,
                       boolean mayVacate, long timeOfDay, long now) {
 
+    /** Attempts of the job that occupy room. */
+    Collection<Attempt> held(Pipeline job) {
+        List<Attempt> union = holding.get(job.uid());
+        return union == null ? job.attempts() : union;
+    }
+
     /** Cores that the jobs accepted lately have asked for: room for as much is kept free. */
     static double askedCores(Collection<Pipeline> jobs, long timeOfDay) {
         return jobs.stream().filter(p -> p.acceptedAt() > timeOfDay - Constants.ASKED_MS)
--- a/src/main/java/org/spoolline/placement/Placer.java
+++ b/src/main/java/org/spoolline/placement/Placer.java
@@ -1,7 +1,6 @@
 package org.spoolline.placement;
 
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -76,7 +75,7 @@
         }
         for (Pipeline job : picture.jobs()) {
             double[] use = teamUse.computeIfAbsent(job.spec().team(), t -> new double[2]);
-            for (Attempt a : held(job)) {
+            for (Attempt a : picture.held(job)) {
                 use[0] += job.spec().cores();
                 use[1] += job.spec().accelerators();
                 Node node = byName.get(a.machine());
@@ -100,11 +99,6 @@
                 surplus ? Consolidation.vacated(picture, nodes) : Set.of());
     }
 
-    private Collection<Attempt> held(Pipeline job) {
-        Collection<Attempt> union = picture.holding().get(job.uid());
-        return union == null ? job.attempts() : union;
-    }
-
     /** True for a job that has waited long and of which nothing has begun. */
     private boolean aged(Pipeline job) {
         return !job.begun() && picture.timeOfDay() - job.acceptedAt() > Constants.AGED_MS;
@@ -160,7 +154,7 @@
         }
         // Members that wait already would give up before one that fetches long is there; started over as a whole,
         // those at hand are launched last.
-        boolean mending = spec.gang() && !held(job).isEmpty();
+        boolean mending = spec.gang() && !picture.held(job).isEmpty();
         double mendS = picture.settings().workers().gangWaitMs() / 1000.0 * Constants.MEND_FETCH_SHARE;
         List<Node> fitting = new ArrayList<>();
         for (Node node : nodes) {
@@ -252,7 +246,7 @@
             return fill(job, fitting, count, null);
         }
         Set<String> zones = new LinkedHashSet<>();
-        held(job).forEach(a -> zones.add(zoneOf(a)));
+        picture.held(job).forEach(a -> zones.add(zoneOf(a)));
         if (zones.isEmpty()) {
             fitting.forEach(n -> zones.add(n.zone));
         } else if (zones.size() > 1) {
@@ -279,7 +273,7 @@
         Submission spec = job.spec();
         Map<String, Integer> inZone = new HashMap<>();
         if (spec.spread()) {
-            held(job).forEach(a -> inZone.merge(zoneOf(a), 1, Integer::sum));
+            picture.held(job).forEach(a -> inZone.merge(zoneOf(a), 1, Integer::sum));
         }
         List<Node> chosen = new ArrayList<>();
         for (Node node : fitting) {
--- a/src/main/java/org/spoolline/placement/Preemption.java
+++ b/src/main/java/org/spoolline/placement/Preemption.java
@@ -1,7 +1,6 @@
 package org.spoolline.placement;
 
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -150,8 +149,7 @@
                     || !forGangs && (!job.spec().saves() || within.contains(job.uid()))) {
                 continue;
             }
-            Collection<Attempt> union = picture.holding().get(job.uid());
-            for (Attempt a : union == null ? job.attempts() : union) {
+            for (Attempt a : picture.held(job)) {
                 Machine machine = picture.machines().get(a.machine());
                 if (machine != null) {
                     victims.computeIfAbsent(a.machine(), m -> new ArrayList<>()).add(Victim.of(job, a, machine, picture.now()));
--- a/src/main/java/org/spoolline/placement/Rounds.java
+++ b/src/main/java/org/spoolline/placement/Rounds.java
@@ -1,9 +1,7 @@
 package org.spoolline.placement;
 
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -16,7 +14,6 @@
 import org.spoolline.fleet.Catalog;
 import org.spoolline.fleet.Fleet;
 import org.spoolline.fleet.MachineType;
-import org.spoolline.intake.FinalRecord;
 import org.spoolline.leadership.Leadership;
 import org.spoolline.net.Json;
 import org.spoolline.net.Loop;
@@ -42,10 +39,6 @@
     /** Prefix of lasting records of jobs that are over. */
     public static final String FINALS = "final/";
     private static final Logger LOG = LoggerFactory.getLogger(Rounds.class);
-    /** Rank of a change that only takes ends of some tasks over. */
-    private static final int ENDS_ONLY = 4;
-    /** Rank of a change that was refused before: last, so that it keeps nobody from being written. */
-    private static final int ALONE = 5;
 
     private final Loop loop;
     private final Settings settings;
@@ -54,6 +47,7 @@
     private final Catalog catalog;
     private final MachineTable machines;
     private final JobTable jobs;
+    private final Writes writes;
     private Fleet fleet;
     private Outcomes outcomes;
 
@@ -62,7 +56,6 @@
     private boolean loaded;
     private boolean scheduled;
     private int lastBatch;
-    private int txnsInFlight;
     private long lastRoundAt;
     private final Map<String, Map<Machine.Start, Double>> stops = new HashMap<>();
     /** Gang tasks whose machine has the image, while others of the gang have to fetch it. */
@@ -72,10 +65,6 @@
     private final Set<Machine> heard = new LinkedHashSet<>();
     /** Attempts that news is about and that no write has settled since, by job. */
     private final Map<String, Set<Attempt>> unsettled = new HashMap<>();
-    /** Since when a job's change has waited for the state budget. */
-    private final Map<String, Long> unwrittenSince = new HashMap<>();
-    /** Jobs of a refused transaction: each is written by itself until that succeeds, lest one of them stops the rest. */
-    private final Set<String> alone = new HashSet<>();
     /** Jobs whose value has no room for more attempts, with the time until which their turn goes to others. */
     private final Map<String, Long> fullUntil = new HashMap<>();
     private long sweptAt;
@@ -104,14 +93,6 @@
         void written(boolean settled, Set<String> withNews);
     }
 
-    /** A value to be rewritten in this round. */
-    private record Change(JobTable.Entry entry, Pipeline next) {
-    }
-
-    /** A change with what is to be stored for it: the live value, or the lasting record of a job that is over. */
-    private record Write(Change change, ObjectNode value) {
-    }
-
     public Rounds(Loop loop, Settings settings, StateClient state, Leadership leadership, Catalog catalog,
                   MachineTable machines, JobTable jobs) {
         this.loop = loop;
@@ -121,6 +102,7 @@
         this.catalog = catalog;
         this.machines = machines;
         this.jobs = jobs;
+        writes = new Writes(loop, settings, state, leadership, jobs, new Stored());
     }
 
     public void connect(Fleet toFleet, Outcomes toOutcomes) {
@@ -134,7 +116,7 @@
         // A former leader may have kept leases alive until its keep-alive time had run out.
         evidence = new Evidence(leadership.workerToken(), loop.now() + settings.keepAliveMs(), settings.silenceMs());
         loaded = false;
-        txnsInFlight = 0;
+        writes.begin(token);
         jobs.clear();
         machines.clear();
         stops.clear();
@@ -144,8 +126,6 @@
         warm.clear();
         heard.clear();
         unsettled.clear();
-        unwrittenSince.clear();
-        alone.clear();
         fullUntil.clear();
         sweptAt = loop.now();
         vacatedAt = loop.now();
@@ -155,6 +135,7 @@
 
     public void deposed() {
         term = 0;
+        writes.begin(0);
         loaded = false;
         jobs.clear();
         stops.clear();
@@ -296,7 +277,7 @@
         }
         noteNews();
         Map<String, Pipeline> working = new LinkedHashMap<>();
-        Map<String, Change> changes = new LinkedHashMap<>();
+        Map<String, Writes.Change> changes = new LinkedHashMap<>();
         for (JobTable.Entry entry : jobs.entries()) {
             String uid = entry.confirmed().uid();
             if (entry.inFlight()) {
@@ -311,7 +292,7 @@
                 unsettled.remove(uid);
             } else {
                 unsettled.computeIfAbsent(uid, u -> new HashSet<>()).addAll(due);
-                changes.put(uid, new Change(entry, next));
+                changes.put(uid, new Writes.Change(entry, next));
             }
         }
         Placer.Plan plan = planned(working);
@@ -332,14 +313,13 @@
         }
         plan.placements().forEach((uid, placed) -> place(uid, placed, changes));
         lastBatch = changes.size();
-        List<Change> ordered = inOrder(changes);
-        boolean all = write(ordered) && ordered.size() == changes.size();
+        boolean all = writes.write(changes);
         Set<String> coming = machinesWithWorkComing();
         coming.addAll(plan.gathering());
         reservations.values().forEach(r -> coming.addAll(r.clearing().machines()));
         fleet.pass(plan.wants(), Picture.askedCores(working.values(), loop.timeOfDay()), name -> jobs.anyOn(name) || coming.contains(name));
         // Reports whose launches wait for the state budget are held on: the next regular one is seconds away.
-        tell(txnsInFlight == 0 && all);
+        tell(writes.settled() && all);
     }
 
     /** What machines have reported concerns their attempts; it is judged until a write has settled it. */
@@ -623,9 +603,9 @@
                 && t.uid().equals(uid));
     }
 
-    private void place(String uid, List<Placer.Placement> placed, Map<String, Change> changes) {
+    private void place(String uid, List<Placer.Placement> placed, Map<String, Writes.Change> changes) {
         JobTable.Entry entry = jobs.get(uid);
-        Change change = changes.get(uid);
+        Writes.Change change = changes.get(uid);
         Pipeline next = change == null ? entry.confirmed().copy() : change.next();
         Submission spec = next.spec();
         long number = spec.gang() && !next.attempts().isEmpty() ? next.attempts().iterator().next().number() : next.nextAttempt();
@@ -656,7 +636,7 @@
             afterMates.put(uid, atHand);
         }
         if (!added.isEmpty() && change == null) {
-            changes.put(uid, new Change(entry, next));
+            changes.put(uid, new Writes.Change(entry, next));
         }
         LOG.info("placed {} of {} tasks of {} as attempt {}", added.size(), placed.size(), uid, number);
     }
@@ -672,130 +652,43 @@
         return coming;
     }
 
-    private static boolean over(Pipeline p) {
-        return p.finished() || p.cancelled() && p.attempts().isEmpty();
-    }
-
-    /**
-     * What the state budget should go to first: what has waited too long, so that no job starves; then urgent starts;
-     * then ends that users wait for; then other starts. Single completions of wide arrays can wait.
-     */
-    private List<Change> inOrder(Map<String, Change> changes) {
-        long now = loop.now();
-        unwrittenSince.keySet().retainAll(changes.keySet());
-        List<Change> ordered = new ArrayList<>(changes.values());
-        ordered.forEach(c -> unwrittenSince.putIfAbsent(c.next().uid(), now));
-        if (state.runsLow()) {
-            ordered.removeIf(c -> rank(c, now) == ENDS_ONLY
-                    && now - unwrittenSince.get(c.next().uid()) < Constants.ENDS_WAIT_MS);
-        }
-        ordered.sort(Comparator.comparingInt((Change c) -> rank(c, now))
-                .thenComparingLong(c -> unwrittenSince.get(c.next().uid())));
-        return ordered;
-    }
-
-    private int rank(Change change, long now) {
-        Pipeline next = change.next();
-        if (alone.contains(next.uid())) {
-            return ALONE;
-        }
-        if (now - unwrittenSince.get(next.uid()) > Constants.WRITE_PATIENCE_MS) {
-            return 0;
-        }
-        boolean starts = next.attempts().stream().anyMatch(a -> !change.entry().confirmed().holds(a));
-        if (starts && next.spec().priority().compareTo(Submission.Priority.URGENT) >= 0) {
-            return 1;
-        }
-        return over(next) ? 2 : starts ? 3 : ENDS_ONLY;
-    }
-
-    /** Writes the changes in few transactions; false: the budget does not carry some, they are decided again. */
-    private boolean write(List<Change> changes) {
-        int allowance = state.changesLeft();
-        List<Write> batch = new ArrayList<>();
-        int written = 0;
-        int ops = 0;
-        int bytes = 0;
-        for (Change change : changes) {
-            boolean over = over(change.next());
-            int cost = over ? 2 : 1;
-            if (allowance < cost || txnsInFlight >= Constants.TXNS_IN_FLIGHT) {
-                break;
-            }
-            ObjectNode value = over ? FinalRecord.of(change.next()).encode() : change.next().encode();
-            int size = over ? Constants.FINAL_BYTES : Json.bytes(value).length + Constants.FRAME_BYTES;
-            boolean apart = alone.contains(change.next().uid()) && !batch.isEmpty();
-            if (apart || ops + cost > settings.state().txnOps() || bytes + size > Constants.TXN_BYTES) {
-                send(batch, ops);
-                batch = new ArrayList<>();
-                ops = 0;
-                bytes = 0;
-            }
-            batch.add(new Write(change, value));
-            written++;
-            ops += cost;
-            bytes += size;
-            allowance -= cost;
-        }
-        if (!batch.isEmpty() && txnsInFlight < Constants.TXNS_IN_FLIGHT) {
-            send(batch, ops);
-            batch = List.of();
-        }
-        return written == changes.size() && batch.isEmpty();
-    }
-
-    private void send(List<Write> batch, int ops) {
-        StateClient.Txn txn = new StateClient.Txn().require(Leadership.LEADER_KEY, leadership.keyVersion());
-        for (Write write : batch) {
-            Change change = write.change();
-            String uid = change.next().uid();
-            txn.require(JOBS + uid, change.entry().version());
-            if (over(change.next())) {
-                txn.delete(JOBS + uid).put(FINALS + uid, write.value());
+    /** What becomes of the changes that a round has decided. */
+    private final class Stored implements Writes.Listener {
+        @Override
+        public void sent(Writes.Change change) {
+            unsettled.remove(change.uid());
+        }
+
+        @Override
+        public void applied(Writes.Change change, long revision) {
+            Pipeline next = change.next();
+            Pipeline known = change.entry().confirmed();
+            next.attempts().stream().filter(a -> !known.holds(a)).forEach(a -> withNews.add(a.machine()));
+            if (change.over()) {
+                LOG.info("{} is over: {}", next.uid(), next.finished() ? "done" : "cancelled");
+                jobs.drop(next.uid(), revision);
+                stops.remove(next.uid());
+                afterMates.remove(next.uid());
+                warm.remove(next.uid());
             } else {
-                txn.put(JOBS + uid, write.value());
+                jobs.applied(change.entry(), revision);
             }
-            jobs.propose(change.entry(), change.next());
-            unsettled.remove(uid);
-            unwrittenSince.remove(uid);
         }
-        txnsInFlight++;
-        state.force(ops);
-        commit(txn, batch.stream().map(Write::change).toList(), ops, term, false);
-    }
 
-    /** {@code unsure}: an earlier copy got no answer, so it may have been applied, or may yet be. */
-    private void commit(StateClient.Txn txn, List<Change> batch, int ops, long mine, boolean unsure) {
-        state.commit(txn, outcome -> {
-            if (term != mine) {
-                return;
-            }
-            StateClient.Fate fate = outcome.fate();
-            if (fate == StateClient.Fate.UNKNOWN || unsure && fate == StateClient.Fate.REFUSED) {
-                // The very same one is applied once at most, for its conditions; it is sent until that is decided.
-                LOG.info("no answer to a transaction of {} jobs, sent again", batch.size());
-                later(Constants.RETRY_MS, mine, () -> {
-                    state.force(ops);
-                    commit(txn, batch, ops, mine, true);
-                });
-                return;
-            }
-            txnsInFlight--;
-            if (fate == StateClient.Fate.APPLIED) {
-                batch.forEach(change -> alone.remove(change.next().uid()));
-                batch.forEach(change -> applied(change, outcome.revision()));
+        /** What was decided is not stored: the job is judged anew as a whole. */
+        @Override
+        public void abandoned(JobTable.Entry entry) {
+            unsettled.computeIfAbsent(entry.confirmed().uid(), u -> new HashSet<>())
+                    .addAll(entry.confirmed().attempts());
+        }
+
+        @Override
+        public void decided(boolean applied) {
+            if (applied) {
                 tell(false);
-            } else if (fate == StateClient.Fate.CONFLICT) {
-                conflict(batch, outcome.failed(), mine);
-            } else {
-                LOG.info("a transaction of {} jobs was refused: {}", batch.size(), fate);
-                if (fate != StateClient.Fate.REFUSED) {
-                    batch.forEach(change -> alone.add(change.next().uid()));
-                }
-                batch.forEach(change -> abandoned(change.entry()));
             }
             poke();
-        });
+        }
     }
 
     private void tell(boolean settled) {
@@ -803,64 +696,4 @@
         withNews.clear();
         outcomes.written(settled, news);
     }
-
-    private void applied(Change change, long revision) {
-        Pipeline next = change.next();
-        Pipeline known = change.entry().confirmed();
-        next.attempts().stream().filter(a -> !known.holds(a)).forEach(a -> withNews.add(a.machine()));
-        if (over(next)) {
-            LOG.info("{} is over: {}", next.uid(), next.finished() ? "done" : "cancelled");
-            jobs.drop(next.uid(), revision);
-            stops.remove(next.uid());
-            afterMates.remove(next.uid());
-            warm.remove(next.uid());
-        } else {
-            jobs.applied(change.entry(), revision);
-        }
-    }
-
-    /** Jobs with newer values are read again; for the others the failed condition rules out any late copy. */
-    private void conflict(List<Change> batch, List<String> failed, long mine) {
-        if (failed.contains(Leadership.LEADER_KEY)) {
-            leadership.depose("the leader key is not ours any more");
-            return;
-        }
-        LOG.info("a transaction of {} jobs met newer values: {}", batch.size(), failed);
-        batch.stream().filter(c -> failed.contains(JOBS + c.next().uid())).forEach(c -> alone.add(c.next().uid()));
-        for (Change change : batch) {
-            if (failed.contains(JOBS + change.next().uid())) {
-                reread(change, mine);
-            } else {
-                abandoned(change.entry());
-            }
-        }
-    }
-
-    /** What was decided is not stored: the job is judged anew as a whole. */
-    private void abandoned(JobTable.Entry entry) {
-        jobs.abandoned(entry);
-        unsettled.computeIfAbsent(entry.confirmed().uid(), u -> new HashSet<>())
-                .addAll(entry.confirmed().attempts());
-    }
-
-    private void reread(Change change, long mine) {
-        String uid = change.next().uid();
-        state.force(0);
-        state.get(JOBS + uid, read -> {
-            if (term != mine) {
-                return;
-            }
-            if (!read.reached()) {
-                later(Constants.RETRY_MS, mine, () -> reread(change, mine));
-                return;
-            }
-            abandoned(change.entry());
-            if (read.item().exists()) {
-                jobs.seen(new StateClient.Change(JOBS + uid, read.item().value(), read.item().version()), uid);
-            } else {
-                jobs.drop(uid, change.entry().version());
-            }
-            poke();
-        });
-    }
 }
