--- a/src/main/java/org/spoolline/cli/Main.java
+++ b/src/main/java/org/spoolline/cli/Main.java
@@ -154,6 +154,7 @@
             UndertowServer server = new UndertowServer(worker, buffers, settings.backlog(), guard);
             log.info("{} is to serve users and workers on {}, controllers on {}", settings.node(), settings.serveOn(),
                     settings.internalAddress());
+            settings.shortages().forEach(s -> log.error("too little to serve in full: {}", s));
             // After a crash of all controllers a thousand workers come at once, to a process that is cold: they would keep
             // it from the election that it takes to serve any of them. Until it knows who leads it has no answer anyway.
             CountDownLatch oriented = new CountDownLatch(1);
--- a/src/main/java/org/spoolline/settings/Constants.java
+++ b/src/main/java/org/spoolline/settings/Constants.java
@@ -27,6 +27,10 @@
 
     /** Exit code after an error such as memory that is full: the virtual machine's own, see ExitOnOutOfMemoryError. */
     public static final int EXIT_ERROR = 3;
+    /** MB that a process holds with a full heap, by the bounds of deploy/service.toml; half of it was seen at 1,500 machines. */
+    public static final int FULL_MB = 200;
+    /** Sockets below which workers and users get too few beside the state service, the cloud and the peers. */
+    public static final int SOCKETS_NEEDED = 100;
     /** Tries to listen on an address that a process just ended may still hold. */
     public static final int BIND_TRIES = 8;
     /** Ms that a node takes at most to learn who leads before it listens: longer than an election, shorter than a lease. */
--- a/src/main/java/org/spoolline/settings/Settings.java
+++ b/src/main/java/org/spoolline/settings/Settings.java
@@ -1,5 +1,6 @@
 package org.spoolline.settings;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 
@@ -73,6 +74,19 @@
         return Math.max(Constants.IDLE_CONNECTIONS_MIN, quota.sockets());
     }
 
+    /** What the settings give too little of, in words; the node serves as far as it can. */
+    public List<String> shortages() {
+        List<String> found = new ArrayList<>();
+        if (quota.memoryMb() < Constants.FULL_MB) {
+            found.add("cluster.quota.ram_mb is " + (int) quota.memoryMb() + ", a full heap takes " + Constants.FULL_MB);
+        }
+        if (quota.sockets() < Constants.SOCKETS_NEEDED) {
+            found.add("cluster.quota.sockets is " + quota.sockets() + ", at least " + Constants.SOCKETS_NEEDED
+                    + " are needed");
+        }
+        return found;
+    }
+
     /** Ms between renewals of the leadership lease. */
     public long renewMs() {
         return Math.max(1, leadershipMs() / Constants.RENEWALS);
--- a/src/test/java/org/spoolline/settings/SettingsFileTest.java
+++ b/src/test/java/org/spoolline/settings/SettingsFileTest.java
@@ -63,6 +63,14 @@
         assertTrue(large.deafMs() > 4_000 * 2 && small.deafMs() < large.deafMs());
     }
 
+    @Test
+    void settingsTooSmallToServeInAreNamedAndNotRefused() throws Exception {
+        assertEquals(0, SettingsFile.parse(FINE).shortages().size());
+        String shortages = SettingsFile.parse(FINE.replace("sockets = 2500", "sockets = 20")
+                .replace("ram_mb = 320.0", "ram_mb = 64.0")).shortages().toString();
+        assertTrue(shortages.contains("sockets is 20") && shortages.contains("ram_mb is 64"), shortages);
+    }
+
     @Test
     void unknownFieldsAreIgnored() throws Exception {
         Settings s = SettingsFile.parse(FINE);
