The loop's thread alone does everything once it runs, listening too

Its cause is not known; two threads that read at the same time, the one that starts the process and the loop's, are taken as the suspect: the former now does nothing but wait from the moment the latter runs. Addresses that are still held are tried again by timer.

--- a/src/main/java/org/spoolline/cli/Main.java
+++ b/src/main/java/org/spoolline/cli/Main.java
@@ -7,14 +7,12 @@
 import java.util.Locale;
 import java.util.SplittableRandom;
 import java.util.concurrent.Callable;
-import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.locks.LockSupport;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.spoolline.Controller;
 import org.spoolline.net.Guard;
 import org.spoolline.net.Http;
+import org.spoolline.net.Loop;
 import org.spoolline.net.UndertowCaller;
 import org.spoolline.net.UndertowServer;
 import org.spoolline.net.XnioLoop;
@@ -101,17 +99,18 @@
     }
 
     /** Listens; an address that a process of ours just ended may still hold is tried again for a moment. */
-    private static void listen(UndertowServer server, String address, Http.Handler handler) {
-        for (int tries = Constants.BIND_TRIES; ; tries--) {
-            try {
-                server.listen(address, handler);
+    private static void listen(Loop loop, UndertowServer server, String address, Http.Handler handler, int tries) {
+        try {
+            server.listen(address, handler);
+        } catch (RuntimeException e) {
+            Throwable cause = rootOf(e);
+            if (tries > 1 && cause instanceof BindException) {
+                loop.after(Constants.BIND_RETRY_MS, () -> listen(loop, server, address, handler, tries - 1));
                 return;
-            } catch (RuntimeException e) {
-                if (tries <= 1 || !(rootOf(e) instanceof BindException)) {
-                    throw e;
-                }
-                LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(Constants.BIND_RETRY_MS));
             }
+            System.err.println("spoolline: can't serve on " + address + ": "
+                    + (cause instanceof BindException ? "address in use or not ours" : cause));
+            Runtime.getRuntime().halt(1);
         }
     }
 
@@ -149,7 +148,8 @@
             XnioIoThread thread = worker.getIoThread();
             DefaultByteBufferPool buffers = buffers();
             Guard guard = guard();
-            Controller controller = new Controller(settings, new XnioLoop(thread, guard),
+            Loop loop = new XnioLoop(thread, guard);
+            Controller controller = new Controller(settings, loop,
                     new UndertowCaller(thread, buffers, settings.idleConnections(), guard), new SplittableRandom());
             UndertowServer server = new UndertowServer(worker, buffers, settings.backlog(), guard);
             log.info("{} is to serve users and workers on {}, controllers on {}", settings.node(), settings.serveOn(),
@@ -157,20 +157,24 @@
             settings.shortages().forEach(s -> log.error("too little to serve in full: {}", s));
             // After a crash of all controllers a thousand workers come at once, to a process that is cold: they would keep
             // it from the election that it takes to serve any of them. Until it knows who leads it has no answer anyway.
-            CountDownLatch oriented = new CountDownLatch(1);
-            thread.execute(() -> controller.start(oriented::countDown));
-            listen(server, settings.internalAddress(), controller::servePeer);
-            oriented.await(Constants.ORIENT_MS, TimeUnit.MILLISECONDS);
-            listen(server, settings.serveOn(), controller::serve);
+            boolean[] open = new boolean[1];
+            Runnable openToAll = () -> {
+                if (!open[0]) {
+                    open[0] = true;
+                    listen(loop, server, settings.serveOn(), controller::serve, Constants.BIND_TRIES);
+                }
+            };
+            loop.after(0, () -> {
+                controller.start(openToAll);
+                listen(loop, server, settings.internalAddress(), controller::servePeer, Constants.BIND_TRIES);
+                loop.after(Constants.ORIENT_MS, openToAll);
+            });
             // From here on the loop's thread is the only one that does anything; a virtual machine was seen to end in
             // the C library's read while the thread that started it was still winding up.
             worker.awaitTermination();
             return 0;
         } catch (IOException | RuntimeException e) {
-            Throwable cause = rootOf(e);
-            System.err.println("spoolline: can't serve on " + settings.serveOn() + " and "
-                    + settings.internalAddress() + ": " + (cause instanceof BindException ? "address in use or not "
-                    + "ours" : cause));
+            System.err.println("spoolline: can't start: " + rootOf(e));
             return 1;
         }
     }
