--- a/src/main/java/org/spoolline/placement/Preemption.java
+++ b/src/main/java/org/spoolline/placement/Preemption.java
@@ -24,21 +24,19 @@
  * reservation lapses.
  */
 final class Preemption {
-    /** A task that may have to leave its machine; {@code unsavedS} of run time would be lost without grace. */
-    private record Victim(Pipeline job, Attempt attempt, double unsavedS) {
+    /**
+     * A task that may have to leave its machine.
+     *
+     * @param loss   core seconds that a stop throws away
+     * @param graceS saving occupies the room that others wait for: none where it would take about as long as it saves
+     */
+    private record Victim(Pipeline job, Attempt attempt, double loss, double graceS) {
         static Victim of(Pipeline job, Attempt attempt, Machine machine, long now) {
-            return new Victim(job, attempt, job.spec().unsavedS(
-                    machine.ranMs(Machine.Start.of(job.uid(), attempt), now) / 1000.0));
-        }
-
-        /** Saving occupies the room that others wait for: no grace where it would take about as long as it saves. */
-        boolean leavesAtOnce() {
-            return !job.spec().saves() || unsavedS <= Constants.SAVES_WORTH * job.spec().saveS();
-        }
-
-        /** Core seconds that the stop throws away. */
-        double loss() {
-            return job.spec().cores() * (leavesAtOnce() ? unsavedS : job.spec().saveS());
+            Submission spec = job.spec();
+            double unsavedS = spec.unsavedS(machine.ranMs(Machine.Start.of(job.uid(), attempt), now) / 1000.0);
+            boolean atOnce = !spec.saves() || unsavedS <= Constants.SAVES_WORTH * spec.saveS();
+            return new Victim(job, attempt, spec.cores() * (atOnce ? unsavedS : spec.saveS()),
+                    atOnce ? 0 : spec.stopGraceS());
         }
     }
 
@@ -104,35 +102,17 @@
     private void clearing(Pipeline job, List<Choice> chosen, boolean warm) {
         Set<String> machines = new LinkedHashSet<>();
         Map<Machine.Start, Double> leaving = new LinkedHashMap<>();
-        boolean atOnce = urgentGang(job) && savesTakeTooLong(job, chosen);
         for (Choice c : chosen) {
             machines.add(c.node().machine.name());
             taken.add(c.node().machine.name());
             c.node().reserve(job.uid());
             for (Victim v : c.victims()) {
-                leaving.put(Machine.Start.of(v.job().uid(), v.attempt()),
-                        atOnce || v.leavesAtOnce() ? 0 : v.job().spec().stopGraceS());
+                leaving.put(Machine.Start.of(v.job().uid(), v.attempt()), v.graceS());
             }
         }
         clearings.add(new Placer.Clearing(job.uid(), machines, leaving, warm));
     }
 
-    /** A gang starts as a whole: all its cores would stand idle for the longest save, for longer than what that keeps. */
-    private static boolean savesTakeTooLong(Pipeline gang, List<Choice> chosen) {
-        double longestS = 0;
-        double kept = 0;
-        for (Choice c : chosen) {
-            for (Victim v : c.victims()) {
-                Submission spec = v.job().spec();
-                if (!v.leavesAtOnce()) {
-                    longestS = Math.max(longestS, spec.stopGraceS());
-                    kept += spec.cores() * (v.unsavedS() - spec.saveS());
-                }
-            }
-        }
-        return longestS * gang.spec().cores() * gang.spec().tasks() > kept;
-    }
-
     static boolean urgentGang(Pipeline job) {
         return job.spec().gang() && job.spec().priority().compareTo(Submission.Priority.URGENT) >= 0;
     }
