--- a/src/test/java/org/spoolline/world/StoriesTest.java
+++ b/src/test/java/org/spoolline/world/StoriesTest.java
@@ -47,6 +47,15 @@
         }
     }
 
+    /** The end of a day on which nobody cancels. */
+    private static void everyJobIsDone(World world, int seed) {
+        world.rules.dayIsOver();
+        assertEquals(List.of(), world.rules.broken(), "seed " + seed);
+        for (Users.Job job : world.users.jobs()) {
+            assertEquals("done", job.status(), "seed " + seed + ": " + job.uid());
+        }
+    }
+
     private static Users.Job jobOf(World world, int n) {
         return switch (n % 4) {
             case 0 -> world.users.job("blue", "batch", 12, 1, 15);
@@ -342,11 +351,7 @@
         trouble.strike(world);
         world.at(120_000, world.rules::troublesAreOver);
         world.run(330);
-        world.rules.dayIsOver();
-        assertEquals(List.of(), world.rules.broken(), "seed " + seed);
-        for (Users.Job job : world.users.jobs()) {
-            assertEquals("done", job.status(), "seed " + seed + ": " + job.uid());
-        }
+        everyJobIsDone(world, seed);
     }
 
     private static List<FakeWorker> some(World world, int count) {
@@ -479,11 +484,7 @@
             world.run(280);
             world.rules.troublesAreOver();
             world.run(150);
-            world.rules.dayIsOver();
-            assertEquals(List.of(), world.rules.broken(), "seed " + seed);
-            for (Users.Job job : world.users.jobs()) {
-                assertEquals("done", job.status(), "seed " + seed + ": " + job.uid());
-            }
+            everyJobIsDone(world, seed);
         }
     }
 
--- a/src/test/java/org/spoolline/world/World.java
+++ b/src/test/java/org/spoolline/world/World.java
@@ -73,6 +73,9 @@
     private final Map<String, Cut> cuts = new HashMap<>();
     private final Map<String, List<Runnable>> held = new HashMap<>();
     private final Set<String> slow = new HashSet<>();
+    /** Requests under way from one host to workers at this moment, and the most there were. */
+    private final Map<String, Integer> toWorkers = new HashMap<>();
+    int mostToWorkers;
     private long now;
     private long order;
     private Http.Handler rogue;
@@ -259,10 +262,6 @@
         }
     }
 
-    /** Requests under way from one host to workers at this moment, and the most there were. */
-    private final Map<String, Integer> toWorkers = new HashMap<>();
-    int mostToWorkers;
-
     /** Sends a request from one host to an address; the reply has status 0 when none came in time. */
     void call(String from, String target, Http.Request request, long timeoutMs, Consumer<Http.Reply> done) {
         String host = target.substring(0, target.indexOf(':'));
