The age of the view, not of the renewal, bounds what a leader may answer

Cause: keep-alive and validity counted from the last answered renewal of leadership, but cancellations reach the leader by its watch. Renewals that got through while the watch was still, and leaders that followed one another without having read the jobs, kept the tasks of cancelled jobs alive past cancel_s.

Freshness asks in one place how old the view of the jobs may be for a launch, for a renewal of a worker's lease and for the end of a cancelled task. The watch on the jobs is asked anew every second, so that each answer proves the view complete as of its request. A new leader renews nothing before it has read the jobs; reports wait for that for up to 2.5 s. A node that confirms a cancellation tells the leader at once (best effort; the bound holds without it). A cancellation seen while a write of the same job is under way counts at once.

--- a/src/main/java/org/spoolline/Controller.java
+++ b/src/main/java/org/spoolline/Controller.java
@@ -6,6 +6,7 @@
 import org.spoolline.fleet.Catalog;
 import org.spoolline.fleet.Fleet;
 import org.spoolline.intake.Intake;
+import org.spoolline.leadership.Freshness;
 import org.spoolline.leadership.Leadership;
 import org.spoolline.net.Http;
 import org.spoolline.net.Json;
@@ -25,6 +26,7 @@
     private final StateClient state;
     private final Leadership leadership;
     private final Catalog catalog;
+    private final JobTable jobs = new JobTable();
     private final Intake intake;
     private final CheckIns checkIns;
     private final Rounds rounds;
@@ -37,12 +39,12 @@
         state = new StateClient(loop, http, settings);
         leadership = new Leadership(loop, random, state, settings, this);
         catalog = new Catalog(loop, http, settings, state);
-        intake = new Intake(loop, settings, state, catalog);
+        intake = new Intake(loop, settings, state, catalog, this::cancelled);
+        Freshness freshness = new Freshness(loop, settings, leadership);
         MachineTable machines = new MachineTable();
-        JobTable jobs = new JobTable();
-        rounds = new Rounds(loop, settings, state, leadership, catalog, machines, jobs);
+        rounds = new Rounds(loop, settings, state, leadership, freshness, catalog, machines, jobs);
         fleet = new Fleet(loop, http, settings, leadership, catalog, machines, rounds::poke);
-        checkIns = new CheckIns(loop, http, settings, leadership, machines, jobs, rounds,
+        checkIns = new CheckIns(loop, http, settings, leadership, freshness, machines, jobs, rounds,
                 rounds::heard);
         rounds.connect(fleet, new Rounds.Outcomes() {
             @Override
@@ -56,8 +58,28 @@
                 checkIns.nudge(withNews);
             }
         });
-        peers = new Peers(loop, http, settings, state, leadership, intake::handle,
-                checkIns::hearsWorkers);
+        peers = new Peers(loop, http, settings, state, leadership, new Peers.Local() {
+            @Override
+            public void handle(Http.Request request, Consumer<Http.Response> answer) {
+                intake.handle(request, answer);
+            }
+
+            @Override
+            public boolean hearsWorkers() {
+                return checkIns.hearsWorkers();
+            }
+
+            @Override
+            public void cancelled(String uid) {
+                jobs.cancelled(uid);
+            }
+        });
+    }
+
+    /** A cancellation was confirmed here: its tasks are to end, whoever leads. */
+    private void cancelled(String uid) {
+        jobs.cancelled(uid);
+        peers.tellLeader(uid);
     }
 
     /** Starts; {@code onOriented} runs whenever this node has come to know who leads, itself or another. */
--- a/src/main/java/org/spoolline/intake/Intake.java
+++ b/src/main/java/org/spoolline/intake/Intake.java
@@ -36,6 +36,7 @@
     private final Settings settings;
     private final StateClient state;
     private final Catalog catalog;
+    private final Consumer<String> cancelled;
     private final Map<String, FinalRecord> finals = new Recent<>();
     /** When polls about jobs were last answered here. */
     private final Map<String, Long> answeredAt = new Recent<>();
@@ -72,11 +73,13 @@
         }
     }
 
-    public Intake(Loop loop, Settings settings, StateClient state, Catalog catalog) {
+    /** {@code cancelled} hears of each cancellation that is confirmed here. */
+    public Intake(Loop loop, Settings settings, StateClient state, Catalog catalog, Consumer<String> cancelled) {
         this.loop = loop;
         this.settings = settings;
         this.state = state;
         this.catalog = catalog;
+        this.cancelled = cancelled;
     }
 
     /** True for paths that belong here. */
@@ -270,7 +273,7 @@
             }
             Pipeline pipeline = Pipeline.decode(stored.live());
             if (pipeline.cancelled()) {
-                answer.accept(Http.Response.of(200, aborted(uid)));
+                confirmCancelled(uid, answer);
                 return;
             }
             pipeline.cancel();
@@ -283,7 +286,7 @@
             state.commit(txn, outcome -> {
                 if (outcome.fate() == StateClient.Fate.APPLIED) {
                     LOG.info("cancelled {}", uid);
-                    answer.accept(Http.Response.of(200, aborted(uid)));
+                    confirmCancelled(uid, answer);
                 } else if (outcome.fate() == StateClient.Fate.CONFLICT && tries > 1) {
                     cancel(uid, tries - 1, answer);
                 } else {
@@ -293,6 +296,11 @@
         });
     }
 
+    private void confirmCancelled(String uid, Consumer<Http.Response> answer) {
+        cancelled.accept(uid);
+        answer.accept(Http.Response.of(200, aborted(uid)));
+    }
+
     /** Reads a job from the truth; the answer is given here when that can't be done. */
     private void lookUp(String uid, Consumer<Http.Response> answer, Consumer<Stored> found) {
         if (!state.admit(0)) {
--- a/src/main/java/org/spoolline/leadership/Leadership.java
+++ b/src/main/java/org/spoolline/leadership/Leadership.java
@@ -65,14 +65,15 @@
         return leading;
     }
 
-    /** True while this node may decide, commit and launch: checked at the moment of each answer. */
+    /** True while this node may decide and commit: checked at the moment of each answer. */
     public boolean valid() {
         return leading && loop.now() < validUntil;
     }
 
     /**
-     * True while this node may keep workers' leases alive without deciding anything. It outlasts {@link #valid} by
-     * the keep-alive time, which a new leader counts before it takes silence for an end.
+     * True while this node may keep workers' leases alive without deciding anything, if its view of the jobs allows it
+     * ({@link Freshness}). It outlasts {@link #valid} by the keep-alive time, which a new leader counts before it takes
+     * silence for an end.
      */
     public boolean mayKeepAlive() {
         return leading && loop.now() < validUntil + settings.keepAliveMs();
@@ -183,7 +184,7 @@
         if (knownLeader != null) {
             listener.follows(knownLeader);
         }
-        state.watch(LEADER_KEY, version, watched -> {
+        state.watch(LEADER_KEY, version, Constants.WATCH_MS, watched -> {
             if (watched.reached() && !watched.changes().isEmpty()) {
                 StateClient.Change last = watched.changes().get(watched.changes().size() - 1);
                 if (last.value() != null) {
@@ -239,7 +240,7 @@
             token = next;
             keyVersion = outcome.revision();
             lease = fresh;
-            validUntil = until(leaseSent);
+            validUntil = settings.leadershipEnds(leaseSent);
             knownLeader = settings.node();
             knownToken = Math.max(knownToken, next);
             state.leading(true);
@@ -259,7 +260,7 @@
                 return;
             }
             if (status == 200) {
-                validUntil = Math.max(validUntil, until(sent));
+                validUntil = Math.max(validUntil, settings.leadershipEnds(sent));
             } else if (status == 404) {
                 depose("its lease has ended");
                 return;
@@ -268,8 +269,4 @@
             loop.after(status == 200 ? settings.renewMs() : Constants.RETRY_MS, () -> renew(mine));
         });
     }
-
-    private long until(long sent) {
-        return sent + (long) (settings.leadershipMs() * (1 - Constants.DRIFT)) - Constants.MARGIN_MS;
-    }
 }
--- a/src/main/java/org/spoolline/peers/Peers.java
+++ b/src/main/java/org/spoolline/peers/Peers.java
@@ -2,7 +2,6 @@
 
 import java.util.HashMap;
 import java.util.Map;
-import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.spoolline.leadership.Leadership;
 import org.spoolline.net.Http;
@@ -19,6 +18,18 @@
 public final class Peers {
     private static final String STATUS = "/status";
     private static final String FORWARD = "/forward";
+    private static final String CANCELLED = "/cancelled";
+
+    /** What the others may ask of this node. */
+    public interface Local {
+        /** A user's request that came to a peer. */
+        void handle(Http.Request request, Consumer<Http.Response> answer);
+
+        boolean hearsWorkers();
+
+        /** A peer has confirmed to a user that the job is cancelled. */
+        void cancelled(String uid);
+    }
 
     private record Seen(PeerStatus status, long at) {
     }
@@ -28,19 +39,17 @@
     private final Settings settings;
     private final StateClient state;
     private final Leadership leadership;
-    private final Http.Handler users;
-    private final BooleanSupplier hearsWorkers;
+    private final Local local;
     private final Map<String, Seen> seen = new HashMap<>();
 
     public Peers(Loop loop, Http.Caller http, Settings settings, StateClient state, Leadership leadership,
-                 Http.Handler users, BooleanSupplier hearsWorkers) {
+                 Local local) {
         this.loop = loop;
         this.http = http;
         this.settings = settings;
         this.state = state;
         this.leadership = leadership;
-        this.users = users;
-        this.hearsWorkers = hearsWorkers;
+        this.local = local;
     }
 
     public void start() {
@@ -65,10 +74,15 @@
             if (inner == null) {
                 answer.accept(Http.Response.of(400, new byte[0]));
             } else {
-                users.handle(inner, response -> answer.accept(Http.Response.of(200, Forwarded.encode(response))));
+                local.handle(inner, response -> answer.accept(Http.Response.of(200, Forwarded.encode(response))));
             }
             return;
         }
+        if (request.path().equals(CANCELLED)) {
+            local.cancelled(Cbor.read(request.body()).path("uid").asText());
+            answer.accept(Http.Response.of(200, new byte[0]));
+            return;
+        }
         if (!request.path().equals(STATUS)) {
             answer.accept(Http.Response.of(404, new byte[0]));
             return;
@@ -77,6 +91,19 @@
         answer.accept(Http.Response.of(200, mine().encode()));
     }
 
+    /**
+     * Tells the leader of a cancellation that was committed and is now confirmed here. It learns of it by its watch as
+     * well, unless the state service refuses it alone; without this word the tasks would then run until their leases end.
+     */
+    public void tellLeader(String cancelledUid) {
+        for (Settings.Peer peer : settings.peers()) {
+            if (peer.node().equals(leadership.knownLeader())) {
+                http.call(peer.address(), "POST", CANCELLED, Cbor.bytes(Cbor.object().put("uid", cancelledUid)),
+                        Constants.PEER_TIMEOUT_MS, reply -> { });
+            }
+        }
+    }
+
     /** Hands a user's request to a peer that reaches the state service; false when none is known to. */
     public boolean forward(Http.Request request, Consumer<Http.Response> answer) {
         for (Settings.Peer peer : settings.peers()) {
@@ -113,7 +140,7 @@
     }
 
     private PeerStatus mine() {
-        return new PeerStatus(settings.node(), leadership.knownToken(), state.reachable(), hearsWorkers.getAsBoolean());
+        return new PeerStatus(settings.node(), leadership.knownToken(), state.reachable(), local.hearsWorkers());
     }
 
     private void heard(PeerStatus status) {
--- a/src/main/java/org/spoolline/pipeline/Pipeline.java
+++ b/src/main/java/org/spoolline/pipeline/Pipeline.java
@@ -96,6 +96,11 @@
         return cancelled;
     }
 
+    /** True when a stored value is that of a cancelled job, without reading the rest of it. */
+    public static boolean saysCancelled(JsonNode stored) {
+        return stored.path("cancelled").asBoolean();
+    }
+
     /** The attempts, at most one for each task. */
     public Collection<Attempt> attempts() {
         return attempts.values();
@@ -282,7 +287,7 @@
         JsonNode raw = value.path("job");
         BitSet window = BitSet.valueOf(Base64.getDecoder().decode(value.path("win").asText("")));
         return new Pipeline(SubmissionCodec.trusted(raw), raw, value.path("at").asLong(),
-                value.path("cancelled").asBoolean(), StackCodec.decode(value.path("k")), value.path("low").asInt(),
+                saysCancelled(value), StackCodec.decode(value.path("k")), value.path("low").asInt(),
                 window, last, attempts, value.path("fails").asInt(),
                 value.path("notBefore").asLong(), avoided);
     }
--- a/src/main/java/org/spoolline/placement/JobTable.java
+++ b/src/main/java/org/spoolline/placement/JobTable.java
@@ -19,6 +19,7 @@
         private long version;
         private Pipeline proposed;
         private StateClient.Change held;
+        private boolean cancellationSeen;
 
         public Pipeline confirmed() {
             return confirmed;
@@ -41,8 +42,9 @@
             return confirmed.holds(attempt) && (proposed == null || proposed.holds(attempt));
         }
 
+        /** Nothing undoes a cancellation: it counts from when it is heard of, whatever is being written. */
         public boolean cancelled() {
-            return confirmed.cancelled() || proposed != null && proposed.cancelled();
+            return cancellationSeen || confirmed.cancelled() || proposed != null && proposed.cancelled();
         }
     }
 
@@ -83,6 +85,10 @@
             if (entry.held == null || entry.held.version() < change.version()) {
                 entry.held = change;
             }
+            // A write without an answer may stay under way for minutes; the end of its tasks must not wait for it.
+            if (change.value() != null && Pipeline.saysCancelled(change.value())) {
+                entry.cancellationSeen = true;
+            }
             return;
         }
         if (entry != null && change.version() <= entry.version) {
@@ -101,6 +107,14 @@
         }
     }
 
+    /** Someone has confirmed to a user that the job is cancelled; the stored value may be read later, or never here. */
+    public void cancelled(String uid) {
+        Entry entry = entries.get(uid);
+        if (entry != null) {
+            entry.cancellationSeen = true;
+        }
+    }
+
     void propose(Entry entry, Pipeline next) {
         entry.proposed = next;
     }
--- a/src/main/java/org/spoolline/placement/Rounds.java
+++ b/src/main/java/org/spoolline/placement/Rounds.java
@@ -14,6 +14,7 @@
 import org.spoolline.fleet.Catalog;
 import org.spoolline.fleet.Fleet;
 import org.spoolline.fleet.MachineType;
+import org.spoolline.leadership.Freshness;
 import org.spoolline.leadership.Leadership;
 import org.spoolline.net.Json;
 import org.spoolline.net.Loop;
@@ -44,6 +45,7 @@
     private final Settings settings;
     private final StateClient state;
     private final Leadership leadership;
+    private final Freshness freshness;
     private final Catalog catalog;
     private final MachineTable machines;
     private final JobTable jobs;
@@ -93,12 +95,13 @@
         void written(boolean settled, Set<String> withNews);
     }
 
-    public Rounds(Loop loop, Settings settings, StateClient state, Leadership leadership, Catalog catalog,
-                  MachineTable machines, JobTable jobs) {
+    public Rounds(Loop loop, Settings settings, StateClient state, Leadership leadership, Freshness freshness,
+                  Catalog catalog, MachineTable machines, JobTable jobs) {
         this.loop = loop;
         this.settings = settings;
         this.state = state;
         this.leadership = leadership;
+        this.freshness = freshness;
         this.catalog = catalog;
         this.machines = machines;
         this.jobs = jobs;
@@ -116,6 +119,7 @@
         // A former leader may have kept leases alive until its keep-alive time had run out.
         evidence = new Evidence(leadership.workerToken(), loop.now() + settings.keepAliveMs(), settings.silenceMs());
         loaded = false;
+        freshness.begin();
         writes.begin(token);
         jobs.clear();
         machines.clear();
@@ -142,6 +146,7 @@
     }
 
     private void load(long mine) {
+        long sent = loop.now();
         state.list(JOBS, listing -> {
             if (term != mine) {
                 return;
@@ -153,6 +158,7 @@
             for (StateClient.Item item : listing.items()) {
                 jobs.seen(new StateClient.Change(item.key(), item.value(), item.version()), uid(item.key()));
             }
+            freshness.completeAsOf(sent);
             if (!loaded) {
                 loaded = true;
                 LOG.info("{} live pipelines read under token {}", listing.items().size(), mine);
@@ -164,7 +170,8 @@
     }
 
     private void watch(long mine, long after) {
-        state.watch(JOBS, after, watched -> {
+        long sent = loop.now();
+        state.watch(JOBS, after, Constants.VIEW_WATCH_MS, watched -> {
             if (term != mine) {
                 return;
             }
@@ -177,6 +184,7 @@
             }
             if (watched.reached()) {
                 jobs.watchedUpTo(watched.revision());
+                freshness.completeAsOf(sent);
             }
             if (!watched.changes().isEmpty()) {
                 poke();
--- a/src/main/java/org/spoolline/settings/Constants.java
+++ b/src/main/java/org/spoolline/settings/Constants.java
@@ -54,10 +54,13 @@
     public static final long STAND_SPREAD_MS = 300;
     /** Ms a state request may take before it is given up: answers usually take 10 ms, seldom hundreds. */
     public static final long STATE_TIMEOUT_MS = 2_000;
-    /** Ms a watch stays open. */
+    /** Ms a watch on who leads stays open. */
     public static final long WATCH_MS = 20_000;
-    /** Ms after which an unanswered watch is given up beyond its own time: outages hold watches open. */
-    public static final long WATCH_SLACK_MS = 5_000;
+    /**
+     * Ms a leader's watch on the jobs stays open: each answer proves the view of the jobs complete as of the time it was
+     * asked for, and without such proof a leader stops launching within a leadership's time.
+     */
+    public static final long VIEW_WATCH_MS = 1_000;
     /** Ms between two watches, so that a burst of changes arrives in one answer. */
     public static final long WATCH_PAUSE_MS = 100;
     /** Ms before a failed state request of a loop is tried again. */
@@ -110,6 +113,9 @@
     /** Ms for which the answer to a report that brings ends is held, so that it can carry the next launches. */
     public static final long HOLD_MS = 600;
 
+    /** Ms for which reports wait for a new leader to have read the jobs: a worker gives up after 4 s. */
+    public static final long LOAD_HOLD_MS = 2_500;
+
     /** Amounts closer than this are equal: they are decimal numbers added and taken off many times. */
     public static final double EPSILON = 1e-6;
     /** Seconds of an image fetch below which it does not matter where the image is. */
--- a/src/main/java/org/spoolline/settings/Settings.java
+++ b/src/main/java/org/spoolline/settings/Settings.java
@@ -49,6 +49,11 @@
         return Math.min(Constants.LEADERSHIP_MS, (workers.cancelMs() - silenceMs()) / 2);
     }
 
+    /** When a leadership, or a view of the jobs, ends that dates from a request sent then: less drift and margin. */
+    public long leadershipEnds(long sent) {
+        return sent + (long) (leadershipMs() * (1 - Constants.DRIFT)) - Constants.MARGIN_MS;
+    }
+
     /** Idle connections to others that are kept open: a share of the sockets, most of which the workers need. */
     public int idleConnections() {
         return Math.max(Constants.IDLE_CONNECTIONS_MIN, quota.sockets() / Constants.SOCKETS_PER_IDLE_CONNECTION);
--- a/src/main/java/org/spoolline/state/StateClient.java
+++ b/src/main/java/org/spoolline/state/StateClient.java
@@ -250,11 +250,11 @@
         send("DELETE", "/leases/" + lease, null, Constants.STATE_TIMEOUT_MS, reply -> { });
     }
 
-    /** Waits for changes under a prefix after a revision. */
-    public void watch(String prefix, long after, Consumer<Watched> done) {
+    /** Waits for changes under a prefix after a revision, for so long. */
+    public void watch(String prefix, long after, long waitMs, Consumer<Watched> done) {
         requests.force(1, loop.now());
-        send("GET", "/follow?prefix=" + prefix + "&after=" + after + "&waitMs=" + Constants.WATCH_MS, null,
-                Constants.WATCH_MS + Constants.WATCH_SLACK_MS, reply -> {
+        send("GET", "/follow?prefix=" + prefix + "&after=" + after + "&waitMs=" + waitMs, null,
+                waitMs + Constants.STATE_TIMEOUT_MS, reply -> {
                     if (!reply.ok()) {
                         done.accept(new Watched(false, reply.status() == 410, List.of(), after));
                         return;
--- a/src/main/java/org/spoolline/workers/CheckIns.java
+++ b/src/main/java/org/spoolline/workers/CheckIns.java
@@ -11,6 +11,7 @@
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.spoolline.leadership.Freshness;
 import org.spoolline.leadership.Leadership;
 import org.spoolline.net.Http;
 import org.spoolline.net.Json;
@@ -41,6 +42,7 @@
     private final Settings settings;
     private final long leaseMs;
     private final Leadership leadership;
+    private final Freshness freshness;
     private final MachineTable machines;
     private final JobTable jobs;
     private final Wishes wishes;
@@ -52,13 +54,14 @@
     private boolean ready;
     private long lastHeardAt;
 
-    public CheckIns(Loop loop, Http.Caller http, Settings settings, Leadership leadership, MachineTable machines,
-                    JobTable jobs, Wishes wishes, Consumer<Machine> news) {
+    public CheckIns(Loop loop, Http.Caller http, Settings settings, Leadership leadership, Freshness freshness,
+                    MachineTable machines, JobTable jobs, Wishes wishes, Consumer<Machine> news) {
         this.loop = loop;
         this.http = http;
         this.settings = settings;
         this.leaseMs = settings.workers().leaseMs();
         this.leadership = leadership;
+        this.freshness = freshness;
         this.machines = machines;
         this.jobs = jobs;
         this.wishes = wishes;
@@ -130,8 +133,9 @@
         if (older != null) {
             older.answer(false);
         }
-        if ((first || bringsEnds(machine)) && leadership.valid()) {
-            // Room has come free: the next task's launch is only a commit away, the next report seconds.
+        if (!freshness.viewKnown() || (first || bringsEnds(machine)) && leadership.valid()) {
+            // Before the jobs are read, nobody here can tell whose lease may be renewed; and where room has come free, the
+            // next task's launch is only a commit away, the next report seconds.
             waiting.put(machine.name(), held);
             loop.after(Constants.HOLD_MS, () -> release(held));
         } else {
@@ -158,7 +162,9 @@
     }
 
     private void release(Held held) {
-        if (waiting.remove(held.machine.name(), held)) {
+        if (!freshness.viewKnown() && loop.now() - held.since < Constants.LOAD_HOLD_MS) {
+            loop.after(Constants.HOLD_MS, () -> release(held));
+        } else if (waiting.remove(held.machine.name(), held)) {
             held.answer(true);
         }
     }
@@ -168,6 +174,7 @@
         private final Machine machine;
         private final long session;
         private final long tick;
+        private final long since = loop.now();
         private final Consumer<Http.Response> answer;
 
         Held(Machine machine, Consumer<Http.Response> answer) {
@@ -178,16 +185,19 @@
         }
 
         void answer(boolean withOrders) {
-            if (!leadership.mayKeepAlive() || machine.gone()) {
-                answer.accept(Http.Response.of(503, Json.error("not leading any more")));
+            if (!freshness.mayRenewLeases() || machine.gone()) {
+                answer.accept(Http.Response.of(503, Json.error("too long without contact to renew a lease")));
                 return;
             }
             long token = leadership.workerToken() + machine.nudges();
             ObjectNode body = Json.object().put("baton", token);
             ArrayNode orders = body.putArray("orders");
-            if (withOrders && ready && leadership.valid() && machine.session() == session
-                    && machine.tick() == tick) {
-                give(machine, orders);
+            if (withOrders && ready && machine.session() == session && machine.tick() == tick) {
+                if (freshness.mayLaunch()) {
+                    give(machine, orders);
+                } else if (freshness.mayStopCancelled()) {
+                    stopCancelled(machine, orders);
+                }
             }
             machine.answered(token, loop.now());
             answer.accept(Http.Response.of(200, Json.bytes(body)));
@@ -259,9 +269,7 @@
             }
             Double grace = kept ? grace(start, attempt) : Double.valueOf(0);
             if (grace != null && !(t.phase() == TaskReport.Phase.SAVING && grace > 0)) {
-                order(orders, "kill", start).put("windDownS", grace);
-                LOG.info("stop {}/{} attempt {} on {}, grace {} s", t.uid(), t.task(), t.attempt(), machine.name(),
-                        grace);
+                stop(orders, machine, start, grace);
             }
         }
         for (Map.Entry<Machine.Start, Attempt> e : stored.entrySet()) {
@@ -277,6 +285,22 @@
         }
     }
 
+    /** Without a young view: the ends of tasks whose jobs are known to be cancelled, and no more. */
+    private void stopCancelled(Machine machine, ArrayNode orders) {
+        machine.tasks().forEach((start, report) -> {
+            JobTable.Entry entry = jobs.get(start.uid());
+            if (report.phase() != TaskReport.Phase.EXITED && entry != null && entry.cancelled()) {
+                stop(orders, machine, start, 0);
+            }
+        });
+    }
+
+    private static void stop(ArrayNode orders, Machine machine, Machine.Start start, double grace) {
+        order(orders, "kill", start).put("windDownS", grace);
+        LOG.info("stop {}/{} attempt {} on {}, grace {} s", start.uid(), start.task(), start.attempt(), machine.name(),
+                grace);
+    }
+
     /** Null when the attempt is to go on, else the grace its end may take. */
     private Double grace(Machine.Start start, Attempt attempt) {
         JobTable.Entry entry = jobs.get(start.uid());
--- a/src/test/java/org/spoolline/world/FakeState.java
+++ b/src/test/java/org/spoolline/world/FakeState.java
@@ -5,9 +5,11 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import org.spoolline.net.Http;
@@ -21,7 +23,7 @@
     private record Logged(long revision, String key, JsonNode value) {
     }
 
-    private record Watch(String prefix, long after, Consumer<Http.Response> answer, boolean[] over) {
+    private record Watch(String from, String prefix, long after, Consumer<Http.Response> answer, boolean[] over) {
     }
 
     private final World world;
@@ -33,6 +35,14 @@
     private long revision;
     private long leases;
     private boolean out;
+    /** Hosts that alone are refused, and hosts whose watches' answers are lost. */
+    private final Set<String> refused = new HashSet<>();
+    private final Set<String> watchless = new HashSet<>();
+    private boolean listless;
+    private double lateShare;
+    /** Transactions that were carried out late, and those of them whose conditions held even then. */
+    int late;
+    int lateApplied;
     /** Commits whose answer is lost although they are applied: the next so many. */
     public int answersToLose;
     /** Commits that are applied so late that the caller has long given up: the next so many, this many ms late. */
@@ -61,9 +71,41 @@
         world.at((long) (seconds * 1000), () -> {
             out = false;
             leaseEnds.replaceAll((lease, end) -> world.now() + leaseTtls.get(lease));
+            wake();
+        });
+    }
+
+    /** One host alone gets 503, its leases run out, and its open watches wait as in an outage. */
+    public void refuse(String host, double seconds) {
+        refused.add(host);
+        world.at((long) (seconds * 1000), () -> {
+            refused.remove(host);
+            wake();
         });
     }
 
+    public boolean refuses(String host) {
+        return out || refused.contains(host);
+    }
+
+    /** The answers to one host's watches are lost on the way, while its other requests are answered. */
+    public void loseWatches(String host, double seconds) {
+        watchless.add(host);
+        world.at((long) (seconds * 1000), () -> watchless.remove(host));
+    }
+
+    /** Listings get no answer, while other requests do: pages may be large, and slow links lose them first. */
+    public void refuseListings(double seconds) {
+        listless = true;
+        world.at((long) (seconds * 1000), () -> listless = false);
+    }
+
+    /** That share of the transactions gets no answer and is carried out 2 to 12 s later, after newer ones. */
+    public void lateWrites(double share, double seconds) {
+        lateShare = share;
+        world.at((long) (seconds * 1000), () -> lateShare = 0);
+    }
+
     String leaderNode() {
         Value leader = values.get("leader");
         return leader == null ? null : leader.json().path("node").asText();
@@ -74,25 +116,30 @@
         return value == null ? null : value.json();
     }
 
-    void handle(Http.Request request, Consumer<Http.Response> reply) {
-        if (request.path().startsWith("/follow")) {
-            follow(request.path(), reply);
+    void handle(String from, Http.Request request, Consumer<Http.Response> reply) {
+        if (refuses(from)) {
+            reply.accept(Http.Response.of(503, new byte[0]));
             return;
         }
-        if (out) {
-            reply.accept(Http.Response.of(503, new byte[0]));
+        if (request.path().startsWith("/follow")) {
+            follow(from, request.path(), reply);
             return;
         }
         String path = request.path();
         if (path.startsWith("/keys/")) {
             get(path.substring(6), reply);
         } else if (path.startsWith("/keys?")) {
-            list(query(path), reply);
+            if (!listless) {
+                list(query(path), reply);
+            }
         } else if (path.equals("/commit")) {
             JsonNode body = Json.read(request.body());
             if (commitsToDelay > 0) {
                 commitsToDelay--;
                 world.at(delayMs, () -> commit(body, r -> { }));
+            } else if (lateShare > 0 && world.random.nextDouble() < lateShare) {
+                late++;
+                world.at(2_000 + world.random.nextInt(10_000), () -> commit(body, r -> lateApplied += r.status() == 200 ? 1 : 0));
             } else if (answersToLose > 0) {
                 answersToLose--;
                 commit(body, r -> { });
@@ -207,9 +254,9 @@
         wake();
     }
 
-    private void follow(String path, Consumer<Http.Response> reply) {
+    private void follow(String from, String path, Consumer<Http.Response> reply) {
         Map<String, String> query = query(path);
-        Watch watch = new Watch(query.get("prefix"), Long.parseLong(query.get("after")), reply, new boolean[1]);
+        Watch watch = new Watch(from, query.get("prefix"), Long.parseLong(query.get("after")), reply, new boolean[1]);
         watches.add(watch);
         world.at(Long.parseLong(query.get("waitMs")), () -> answerWatch(watch, true));
         answerWatch(watch, false);
@@ -220,7 +267,14 @@
     }
 
     private void answerWatch(Watch watch, boolean timeUp) {
-        if (watch.over()[0] || out) {
+        if (watch.over()[0]) {
+            return;
+        }
+        if (refuses(watch.from())) {
+            if (timeUp) {
+                // It stays open and is answered once the trouble is over.
+                world.at(500, () -> answerWatch(watch, true));
+            }
             return;
         }
         ObjectNode body = Json.object().put("ledger", revision);
@@ -238,7 +292,9 @@
         if (!events.isEmpty() || timeUp) {
             watch.over()[0] = true;
             watches.remove(watch);
-            answer(watch.answer(), 200, body);
+            if (!watchless.contains(watch.from())) {
+                answer(watch.answer(), 200, body);
+            }
         }
     }
 
--- a/src/test/java/org/spoolline/world/World.java
+++ b/src/test/java/org/spoolline/world/World.java
@@ -283,9 +283,9 @@
         Consumer<Http.Response> reply = response -> deliver(host, from,
                 () -> end.accept(new Http.Reply(response.status(), response.body())));
         if (copiesUpToMs > 0 && request.path().equals("/checkin")) {
-            at(1_000 + random.nextLong(copiesUpToMs), () -> receive(target, host, request, late -> { }, () -> { }));
+            at(1_000 + random.nextLong(copiesUpToMs), () -> receive(from, target, host, request, late -> { }, () -> { }));
         }
-        deliver(from, host, () -> receive(target, host, request, reply, () -> end.accept(Http.Reply.NONE)));
+        deliver(from, host, () -> receive(from, target, host, request, reply, () -> end.accept(Http.Reply.NONE)));
     }
 
     private void deliver(String from, String to, Runnable delivery) {
@@ -331,10 +331,10 @@
         }
     }
 
-    private void receive(String target, String host, Http.Request request, Consumer<Http.Response> reply,
+    private void receive(String from, String target, String host, Http.Request request, Consumer<Http.Response> reply,
                          Runnable refused) {
         if (host.equals("state")) {
-            state.handle(request, reply);
+            state.handle(from, request, reply);
         } else if (host.equals("cloud")) {
             cloud.handle(request, reply);
         } else if (workers.containsKey(host)) {
