--- a/src/main/java/org/spoolline/intake/Intake.java
+++ b/src/main/java/org/spoolline/intake/Intake.java
@@ -183,12 +183,14 @@
                 || job.accelerators() * atOnce > team.acceleratorsMax() + 1e-6) {
             return "over the limit of team " + job.team();
         }
-        for (MachineType type : catalog.types().values()) {
-            if (type.suits(job)) {
-                return null;
-            }
+        List<MachineType> suited = catalog.types().values().stream().filter(t -> t.suits(job)).toList();
+        if (suited.isEmpty()) {
+            return "a task fits no allowed machine type";
         }
-        return "a task fits no allowed machine type";
+        // At most half of the tasks may be in one zone, and all of a gang's run at the same time.
+        long zones = job.oneZone() || job.zone() != null ? 1
+                : suited.stream().flatMap(t -> t.zones().stream()).distinct().count();
+        return job.gang() && job.spread() && job.tasks() > 1 && zones < 2 ? "a gang can't be spread over one zone" : null;
     }
 
     private void poll(String uid, Consumer<Http.Response> answer) {
--- a/src/test/java/org/spoolline/world/FakeWorker.java
+++ b/src/test/java/org/spoolline/world/FakeWorker.java
@@ -18,6 +18,8 @@
     private static final long LEASE_MS = 16_000;
     private static final long ANSWER_MS = 4_000;
     private static final long CACHED_MS = 50;
+    /** Without an answer for so long it counts as out of touch. */
+    private static final long IN_TOUCH_MS = 5_000;
 
     /** One attempt here; {@code since} is when it began to run, or -1. */
     final class Task {
@@ -132,6 +134,23 @@
         return dead;
     }
 
+    /** True while its reports are answered, so that work could be started here. */
+    boolean inTouch() {
+        return !dead && !hung && noticeS == null && !sick && world.now() - leaseFrom < IN_TOUCH_MS;
+    }
+
+    /** Cores that no task holds, not even one that waits for its image. */
+    double free() {
+        return FakeCloud.cores(type) - tasks.values().stream().filter(Task::alive).mapToDouble(t -> world.users.cores(t.uid))
+                .sum();
+    }
+
+    /** True when a task of the job may run on this machine, as far as its kind and place go. */
+    boolean suits(Users.Job job) {
+        return (job.zone() == null || job.zone().equals(zone)) && (job.type() == null || job.type().equals(type))
+                && (job.spot() || !spot) && job.cores() <= FakeCloud.cores(type);
+    }
+
     List<Task> tasks() {
         return new ArrayList<>(tasks.values());
     }
@@ -309,6 +328,7 @@
             return;
         }
         changed();
+        world.rules.launched(task);
         String image = world.users.image(task.uid);
         world.at(images.contains(image) ? CACHED_MS : world.users.fetchMs(task.uid), () -> {
             if (dead || !task.alive() || !tasks.containsValue(task)) {
@@ -324,7 +344,7 @@
                 world.users.gathered(task);
             } else {
                 task.phase = "running";
-                runFor(task, world.users.runMs(task.uid));
+                runFor(task, world.users.runMs(task.uid, task.index));
             }
             changed();
         });
@@ -344,6 +364,7 @@
             } else {
                 world.rules.completed(task);
                 task.exit("done");
+                world.users.ended(task);
             }
         });
     }
--- a/src/test/java/org/spoolline/world/Rules.java
+++ b/src/test/java/org/spoolline/world/Rules.java
@@ -7,10 +7,13 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import org.spoolline.settings.Settings;
 
 /** The rules of PROTOCOL, checked on what tasks and answers really did, with no look into the controllers. */
 public final class Rules {
-    private static final long CANCEL_MS = 46_000;
+    /** What PROTOCOL and the users state as numbers; all else comes from the settings of the story. */
+    private static final long ANSWER_MS = 4_000;
+    private static final long WAITING_MS = 90_000;
     private static final long UNANSWERED_MS = 75_000;
     private static final long LARGEST_BEGIN_MS = 240_000;
 
@@ -22,8 +25,10 @@
     private final Map<String, String> finalWord = new HashMap<>();
     private final Map<String, Long> finalSince = new HashMap<>();
     private final Map<String, Long> firstStart = new HashMap<>();
+    private final Map<String, Long> waitingBesideRoom = new HashMap<>();
     private final Set<String> unanswered = new HashSet<>();
     private int starts;
+    private Settings settings;
 
     Rules(World world) {
         this.world = world;
@@ -37,10 +42,34 @@
         return starts;
     }
 
+    private Settings settings() {
+        if (settings == null) {
+            settings = world.settings("node-0");
+        }
+        return settings;
+    }
+
+    private long cancelMs() {
+        return settings().workers().cancelMs();
+    }
+
     private void breaks(String rule, String what) {
         broken.add(rule + " at " + world.now() / 1000.0 + " s: " + what);
     }
 
+    /** A start command was carried out: the leader's view may have been too young by a leadership's time, no more. */
+    void launched(FakeWorker.Task task) {
+        Long at = cancelledAt.get(task.uid);
+        if (at != null && world.now() > at + settings().leadershipMs() + ANSWER_MS) {
+            breaks("started_cancelled", task.slip() + ", cancelled at " + at / 1000.0 + " s");
+        }
+    }
+
+    /** A job that can never run, or lacks a field, was accepted. */
+    void acceptedOdd(String uid) {
+        breaks("accepted_odd", uid);
+    }
+
     void started(FakeWorker.Task task) {
         starts++;
         firstStart.putIfAbsent(task.uid, world.now());
@@ -69,7 +98,7 @@
         if (job.spread() && inZone > (job.tasks() + 1) / 2) {
             breaks("wrong_place", task.slip() + " makes too many in one zone");
         }
-        if (used > world.settings("node-0").teams().get(job.team()).coresMax() + 1e-6) {
+        if (used > settings().teams().get(job.team()).coresMax() + 1e-6) {
             breaks("quota", job.team() + " uses " + used);
         }
         if (job.zone() != null && !job.zone().equals(task.worker().zone)
@@ -80,13 +109,13 @@
         lateAfterCancel(task);
         alive.add(task);
         if (cancelledAt.containsKey(task.uid)) {
-            world.at(Math.max(0, cancelledAt.get(task.uid) + CANCEL_MS + 1 - world.now()), () -> stillThere(task));
+            world.at(Math.max(0, cancelledAt.get(task.uid) + cancelMs() + 1 - world.now()), () -> stillThere(task));
         }
     }
 
     private void lateAfterCancel(FakeWorker.Task task) {
         Long at = cancelledAt.get(task.uid);
-        if (at != null && world.now() > at + CANCEL_MS) {
+        if (at != null && world.now() > at + cancelMs()) {
             breaks("ran_cancelled", task.slip());
         }
     }
@@ -131,7 +160,7 @@
             if (cancelledAt.putIfAbsent(uid, world.now()) == null) {
                 for (FakeWorker.Task task : List.copyOf(alive)) {
                     if (task.uid.equals(uid)) {
-                        world.at(CANCEL_MS + 1, () -> stillThere(task));
+                        world.at(cancelMs() + 1, () -> stillThere(task));
                     }
                 }
             }
@@ -149,10 +178,39 @@
                     && unanswered.add(job.uid())) {
                 breaks("forgotten", "nobody answers about " + job.uid());
             }
+            if (!waitsBesideRoom(job)) {
+                waitingBesideRoom.remove(job.uid());
+            } else if (world.now() - waitingBesideRoom.computeIfAbsent(job.uid(), u -> world.now()) == WAITING_MS) {
+                breaks("left_waiting", job.uid() + " waits beside machines with room");
+            }
         }
         world.at(1_000, () -> watch(since));
     }
 
+    /** True when nothing of the job is on any machine although it fits those there are, and its team's limit. */
+    private boolean waitsBesideRoom(Users.Job job) {
+        if (!job.accepted() || job.cancelAsked() || job.isFaulty() || completedCount(job.uid()) >= job.tasks()) {
+            return false;
+        }
+        double used = 0;
+        Map<String, Integer> room = new HashMap<>();
+        for (FakeWorker worker : world.workers().values()) {
+            for (FakeWorker.Task task : worker.tasks()) {
+                if (task.alive() && task.uid.equals(job.uid())) {
+                    return false;
+                }
+                used += task.alive() && world.users.job(task.uid).team().equals(job.team()) ? world.users.cores(task.uid)
+                        : 0;
+            }
+            if (worker.inTouch() && worker.suits(job)) {
+                room.merge(job.oneZone() ? worker.zone : "any", (int) (worker.free() / job.cores() + 1e-6), Integer::sum);
+            }
+        }
+        int needed = job.gang() ? job.tasks() : 1;
+        return room.values().stream().anyMatch(r -> r >= needed)
+                && used + needed * job.cores() <= settings().teams().get(job.team()).coresMax() + 1e-6;
+    }
+
     /** At a day's end: of each class, each team and each class's largest jobs at least half is served. */
     public void dayIsOver() {
         Map<String, List<Users.Job>> groups = new TreeMap<>();
--- a/src/test/java/org/spoolline/world/Users.java
+++ b/src/test/java/org/spoolline/world/Users.java
@@ -21,9 +21,12 @@
     public static final class Job {
         private final ObjectNode body;
         private final long runMs;
+        private long apartMs;
         private boolean faulty;
         private boolean accepted;
         private boolean cancelAsked;
+        private boolean odd;
+        private boolean refused;
         private String status = "";
         private long submittedAt = -1;
         private long answeredAt = -1;
@@ -46,6 +49,32 @@
             return answeredAt;
         }
 
+        boolean gang() {
+            return body.path("shape").asText().equals("group");
+        }
+
+        /** Each task runs so much longer than the one before. */
+        public Job endingApart(long ms) {
+            apartMs = ms;
+            return this;
+        }
+
+        /** A job that can never run or lacks a field: it must be turned away for good. */
+        public Job odd() {
+            odd = true;
+            return this;
+        }
+
+        /** True once it was turned away for good. */
+        public boolean refused() {
+            return refused;
+        }
+
+        public Job without(String field) {
+            body.remove(field);
+            return this;
+        }
+
         boolean isFaulty() {
             return faulty;
         }
@@ -119,6 +148,8 @@
     private int names;
     int polls;
     int pollsInVain;
+    private double cancelledAtEnd;
+    int calledOffAtEnd;
 
     Users(World world) {
         this.world = world;
@@ -136,8 +167,8 @@
         return jobs.get(uid).cores();
     }
 
-    long runMs(String uid) {
-        return jobs.get(uid).runMs;
+    long runMs(String uid, int task) {
+        return jobs.get(uid).runMs + task * jobs.get(uid).apartMs;
     }
 
     boolean gang(String uid) {
@@ -180,11 +211,16 @@
         job.submittedAt = job.submittedAt < 0 ? asked : job.submittedAt;
         ask(request, SUBMIT_MS, reply -> {
             if (reply.status() == 200 || reply.status() == 201) {
+                if (job.odd) {
+                    world.rules.acceptedOdd(job.uid());
+                }
                 job.accepted = true;
                 hear(job, reply, asked);
                 poll(job);
             } else if (job.accepted && (reply.status() == 400 || reply.status() == 422)) {
                 world.rules.forgotten(job.uid(), reply.status());
+            } else if (reply.status() == 400 || reply.status() == 422) {
+                job.refused = true;
             } else {
                 world.at(1_000, () -> submit(job));
             }
@@ -192,6 +228,23 @@
         return job;
     }
 
+    /** That share of the jobs that end is called off at the very moment of the end. */
+    public void cancelAtEnd(double share, double seconds) {
+        cancelledAtEnd = share;
+        world.at((long) (seconds * 1000), () -> cancelledAtEnd = 0);
+    }
+
+    /** A task has completed: its user may call the job off, ask about it and submit it again at this very moment. */
+    void ended(FakeWorker.Task task) {
+        Job job = jobs.get(task.uid);
+        if (cancelledAtEnd > 0 && world.rules.completedCount(task.uid) == job.tasks()
+                && world.random.nextDouble() < cancelledAtEnd) {
+            calledOffAtEnd++;
+            cancel(job);
+            submit(job);
+        }
+    }
+
     private void poll(Job job) {
         long asked = world.now();
         polls++;
@@ -282,6 +335,7 @@
         }
         mates.forEach(world.rules::completed);
         mates.forEach(t -> t.exit("done"));
+        ended(task);
     }
 
     private Set<FakeWorker.Task> mates(FakeWorker.Task task) {
--- a/src/test/java/org/spoolline/world/World.java
+++ b/src/test/java/org/spoolline/world/World.java
@@ -73,6 +73,7 @@
     private final Map<String, Cut> cuts = new HashMap<>();
     private final Map<String, List<Runnable>> held = new HashMap<>();
     private final Set<String> slow = new HashSet<>();
+    private final Set<String> muted = new HashSet<>();
     /** Requests under way from one host to workers at this moment, and the most there were. */
     private final Map<String, Integer> toWorkers = new HashMap<>();
     int mostToWorkers;
@@ -262,6 +263,12 @@
         }
     }
 
+    /** A machine that can't open connections to any controller, while direct commands reach it and are answered. */
+    public void mute(String worker, double seconds) {
+        muted.add(worker);
+        at((long) (seconds * 1000), () -> muted.remove(worker));
+    }
+
     /** Sends a request from one host to an address; the reply has status 0 when none came in time. */
     void call(String from, String target, Http.Request request, long timeoutMs, Consumer<Http.Reply> done) {
         String host = target.substring(0, target.indexOf(':'));
@@ -280,6 +287,9 @@
             }
         };
         at(timeoutMs, () -> end.accept(Http.Reply.NONE));
+        if (muted.contains(from)) {
+            return;
+        }
         Consumer<Http.Response> reply = response -> deliver(host, from,
                 () -> end.accept(new Http.Reply(response.status(), response.body())));
         if (copiesUpToMs > 0 && request.path().equals("/checkin")) {
