--- a/src/main/java/org/spoolline/cli/Main.java
+++ b/src/main/java/org/spoolline/cli/Main.java
@@ -66,7 +66,15 @@
         System.setProperty("org.slf4j.simpleLogger.showThreadName", "false");
         System.setProperty("org.slf4j.simpleLogger.showShortLogName", "true");
         Main command = new Main();
-        int code = new CommandLine(command).execute(args);
+        int code;
+        if (args.length == 2 && args[0].equals("--config")) {
+            // The form in which the platform starts each node. Picocli's classes are of a version that no class data
+            // archive takes; loading them from the jar was half of a start, seconds on a small share of a core.
+            command.config = Path.of(args[1]);
+            code = command.serveOrCheck();
+        } else {
+            code = new CommandLine(command).execute(args);
+        }
         if (code != 0 || command.rehearse) {
             System.exit(code);
         }
@@ -74,9 +82,10 @@
 
     @Override
     public Integer call() throws IOException, SettingsException, InterruptedException {
-        if (rehearse) {
-            return new Rehearsal().play() ? 0 : 1;
-        }
+        return rehearse ? new Rehearsal().play() ? 0 : 1 : serveOrCheck();
+    }
+
+    private int serveOrCheck() {
         if (config == null) {
             System.err.println("spoolline: --config FILE is needed, see --help");
             return 2;
@@ -141,41 +150,46 @@
         return new Guard(Runtime.getRuntime()::halt);
     }
 
-    private static int serve(Settings settings) throws InterruptedException {
-        Logger log = LoggerFactory.getLogger(Main.class);
+    private static int serve(Settings settings) {
         try {
             XnioWorker worker = worker();
-            XnioIoThread thread = worker.getIoThread();
-            DefaultByteBufferPool buffers = buffers();
-            Guard guard = guard();
-            Loop loop = new XnioLoop(thread, guard);
-            Controller controller = new Controller(settings, loop,
-                    new UndertowCaller(thread, buffers, settings.idleConnections(), guard), new SplittableRandom());
-            UndertowServer server = new UndertowServer(worker, buffers, settings.backlog(), guard);
-            log.info("{} is to serve users and workers on {}, controllers on {}", settings.node(), settings.serveOn(),
-                    settings.internalAddress());
-            settings.shortages().forEach(s -> log.error("too little to serve in full: {}", s));
-            // After a crash of all controllers a thousand workers come at once, to a process that is cold: they would keep
-            // it from the election that it takes to serve any of them. Until it knows who leads it has no answer anyway.
-            boolean[] open = new boolean[1];
-            Runnable openToAll = () -> {
-                if (!open[0]) {
-                    open[0] = true;
-                    listen(loop, server, settings.serveOn(), controller::serve, Constants.BIND_TRIES);
-                }
-            };
-            loop.after(0, () -> {
-                controller.start(openToAll);
-                listen(loop, server, settings.internalAddress(), controller::servePeer, Constants.BIND_TRIES);
-                loop.after(Constants.ORIENT_MS, openToAll);
-            });
+            start(settings, worker);
             // From here on the loop's thread is the only one that does anything; a virtual machine was seen to end in
             // the C library's read while the thread that started it was still winding up.
             worker.awaitTermination();
             return 0;
-        } catch (IOException | RuntimeException e) {
+        } catch (IOException | InterruptedException | RuntimeException e) {
             System.err.println("spoolline: can't start: " + rootOf(e));
             return 1;
         }
     }
+
+    /** Has a node serve on the worker's I/O thread. */
+    static void start(Settings settings, XnioWorker worker) {
+        Logger log = LoggerFactory.getLogger(Main.class);
+        XnioIoThread thread = worker.getIoThread();
+        DefaultByteBufferPool buffers = buffers();
+        Guard guard = guard();
+        Loop loop = new XnioLoop(thread, guard);
+        Controller controller = new Controller(settings, loop,
+                new UndertowCaller(thread, buffers, settings.idleConnections(), guard), new SplittableRandom());
+        UndertowServer server = new UndertowServer(worker, buffers, settings.backlog(), guard);
+        log.info("{} is to serve users and workers on {}, controllers on {}", settings.node(), settings.serveOn(),
+                settings.internalAddress());
+        settings.shortages().forEach(s -> log.error("too little to serve in full: {}", s));
+        // After a crash of all controllers a thousand workers come at once, to a process that is cold: they would keep it
+        // from the election that it takes to serve any of them. Until it knows who leads it has no answer anyway.
+        boolean[] open = new boolean[1];
+        Runnable openToAll = () -> {
+            if (!open[0]) {
+                open[0] = true;
+                listen(loop, server, settings.serveOn(), controller::serve, Constants.BIND_TRIES);
+            }
+        };
+        loop.after(0, () -> {
+            controller.start(openToAll);
+            listen(loop, server, settings.internalAddress(), controller::servePeer, Constants.BIND_TRIES);
+            loop.after(Constants.ORIENT_MS, openToAll);
+        });
+    }
 }
--- a/src/main/java/org/spoolline/cli/Rehearsal.java
+++ b/src/main/java/org/spoolline/cli/Rehearsal.java
@@ -6,11 +6,9 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
-import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import org.spoolline.Controller;
 import org.spoolline.net.Guard;
 import org.spoolline.net.Http;
 import org.spoolline.net.Json;
@@ -65,6 +63,10 @@
                 cpus_max = 8.0
                 gpus = 0.0
                 gpus_max = 0.0
+                [[cluster.objectives]]
+                kind = "guarantee"
+                within_s = 5.0
+                share = 0.9
                 [cluster.workers]
                 report_s = 3.0
                 lease_s = 16.0
@@ -90,17 +92,14 @@
         Guard guard = Main.guard();
         loop = new XnioLoop(thread, guard);
         caller = new UndertowCaller(thread, buffers, settings.idleConnections(), guard);
-        Controller controller = new Controller(settings, loop, caller, new SplittableRandom());
-        UndertowServer server = new UndertowServer(worker, buffers, settings.backlog(), guard);
-        server.listen(settings.serveOn(), controller::serve);
-        server.listen(settings.internalAddress(), controller::servePeer);
-        server.listen(outside, this::outside);
+        new UndertowServer(worker, buffers, settings.backlog(), guard).listen(outside, this::outside);
+        Main.start(settings, worker);
         thread.execute(() -> {
-            controller.start();
-            loop.after(400, () -> ask("POST", "/submissions", JOB.getBytes(StandardCharsets.UTF_8)));
-            loop.after(600, () -> ask("GET", "/submissions/run-000001", null));
-            loop.after(700, () -> ask("GET", "/healthz", null));
-            loop.after(800, this::checkIn);
+            loop.after(600, () -> ask("POST", "/submissions", JOB.getBytes(StandardCharsets.UTF_8)));
+            loop.after(700, () -> ask("GET", "/submissions/run-000001", null));
+            loop.after(750, () -> ask("POST", "/submissions/run-000002/abort", new byte[0]));
+            loop.after(800, () -> ask("GET", "/healthz", null));
+            loop.after(900, this::checkIn);
         });
         return over.await(20, TimeUnit.SECONDS);
     }
--- a/src/main/java/org/spoolline/net/UndertowCaller.java
+++ b/src/main/java/org/spoolline/net/UndertowCaller.java
@@ -17,13 +17,11 @@
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.Map;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.spoolline.settings.Constants;
 import org.xnio.ChannelListeners;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
-import org.xnio.XnioExecutor;
 import org.xnio.XnioIoThread;
 import org.xnio.channels.StreamSinkChannel;
 import org.xnio.channels.StreamSourceChannel;
@@ -87,7 +85,7 @@
         private final byte[] body;
         private final Consumer<Http.Reply> done;
         private ClientConnection connection;
-        private XnioExecutor.Key timer;
+        private Timeout timeout;
         private boolean over;
 
         Call(String target, String method, String path, byte[] body, Consumer<Http.Reply> done) {
@@ -99,7 +97,7 @@
         }
 
         void start(long timeoutMs) {
-            timer = thread.executeAfter(this::fail, timeoutMs, TimeUnit.MILLISECONDS);
+            timeout = new Timeout(thread, XnioLoop::clockMs, timeoutMs, this::fail);
             ClientConnection open = take(target);
             if (open != null) {
                 send(open);
@@ -214,7 +212,7 @@
                 return;
             }
             over = true;
-            timer.remove();
+            timeout.cancel();
             if (close || !connection.isOpen()) {
                 IoUtils.safeClose(connection);
             } else {
@@ -230,7 +228,7 @@
                 return;
             }
             over = true;
-            timer.remove();
+            timeout.cancel();
             IoUtils.safeClose(connection);
             guard.run("what follows a call without answer", () -> done.accept(Http.Reply.NONE));
         }
--- a/src/main/java/org/spoolline/net/XnioLoop.java
+++ b/src/main/java/org/spoolline/net/XnioLoop.java
@@ -13,9 +13,14 @@
         this.guard = guard;
     }
 
+    /** Ms of the steady clock. */
+    static long clockMs() {
+        return System.nanoTime() / 1_000_000;
+    }
+
     @Override
     public long now() {
-        return System.nanoTime() / 1_000_000;
+        return clockMs();
     }
 
     @Override
--- a/src/main/java/org/spoolline/settings/Constants.java
+++ b/src/main/java/org/spoolline/settings/Constants.java
@@ -42,10 +42,16 @@
     public static final long LEADERSHIP_MS = 5_000;
     /** Ms of the shortest leadership lease that can be kept with renewals and margins. */
     public static final long LEADERSHIP_MIN_MS = 1_500;
+    /** Share of a core below which leadership lasts longer, since the process is late with its renewals. */
+    public static final double AMPLE_CPU_SHARE = 0.1;
+    /** Times its usual length that a leadership lease has at most: a dead leader is missed for as long. */
+    public static final double LEADERSHIP_TIMES_MAX = 2;
     /** Renewals within the time of a leadership lease, so that single lost answers do no harm. */
     public static final int RENEWALS = 5;
     /** Ms taken off every time bound for timer steps and scheduling delay. */
     public static final long MARGIN_MS = 500;
+    /** Ms at most for which a timer that fired late waits for an answer that came in time. */
+    public static final long LATE_GRACE_MS = 2_000;
     /** Relative drift between two steady clocks, doubled for safety (the protocol allows 0.0005). */
     public static final double DRIFT = 0.001;
     /** Ms kept free between the end of the longest chain of leases and the cancellation bound. */
--- a/src/main/java/org/spoolline/settings/Settings.java
+++ b/src/main/java/org/spoolline/settings/Settings.java
@@ -44,9 +44,15 @@
                 objectives, workers, state, cloud, quota, own);
     }
 
-    /** Ms of a leadership lease: its usual time, or less where the cancellation bound leaves less. */
+    /**
+     * Ms of a leadership lease: its usual time, more on a small share of a core, or less where the cancellation bound
+     * leaves less. A cold process on 4% of a core was late with its renewals for longer than 5 s, and leaders followed
+     * one another after each restart.
+     */
     public long leadershipMs() {
-        return Math.min(Constants.LEADERSHIP_MS, (workers.cancelMs() - silenceMs()) / 2);
+        double times = Math.max(1, Math.min(Constants.LEADERSHIP_TIMES_MAX,
+                Constants.AMPLE_CPU_SHARE / quota.cpuShare()));
+        return Math.min((long) (Constants.LEADERSHIP_MS * times), (workers.cancelMs() - silenceMs()) / 2);
     }
 
     /** When a leadership, or a view of the jobs, ends that dates from a request sent then: less drift and margin. */
--- a/src/test/java/org/spoolline/settings/SettingsFileTest.java
+++ b/src/test/java/org/spoolline/settings/SettingsFileTest.java
@@ -92,12 +92,23 @@
     @Test
     void theChainOfLeasesEndsBeforeTheCancellationBound() throws Exception {
         for (double lease : new double[] {4, 10, 18, 30, 40}) {
-            Settings s = SettingsFile.parse(FINE.replace("lease_s = 18.0", "lease_s = " + lease));
-            assertTrue(s.leadershipMs() + s.keepAliveMs() + s.silenceMs() < s.workers().cancelMs(), "lease " + lease);
+            for (double share : new double[] {0, 0.04, 0.09, 0.34}) {
+                Settings s = SettingsFile.parse(FINE.replace("lease_s = 18.0", "lease_s = " + lease)
+                        .replace("cpu_share = 0.34", "cpu_share = " + share));
+                assertTrue(s.leadershipMs() + s.keepAliveMs() + s.silenceMs() < s.workers().cancelMs(),
+                        "lease " + lease + ", share " + share);
+            }
         }
         assertTrue(refusal(FINE.replace("lease_s = 18.0", "lease_s = 47.0")).contains("cancel_s"));
     }
 
+    /** Renewals of a process on a small share come late: with 5 s its leadership ended again and again. */
+    @Test
+    void leadershipLastsLongerOnASmallShareOfACore() throws Exception {
+        assertEquals(5_000, SettingsFile.parse(FINE).leadershipMs());
+        assertEquals(10_000, SettingsFile.parse(FINE.replace("cpu_share = 0.34", "cpu_share = 0.041")).leadershipMs());
+    }
+
     @Test
     void operatorsOwnSettingsAreChecked() throws Exception {
         OperatorSettings own = OperatorSettings.parse("<operator><idle-ms>9000</idle-ms></operator>");
