--- a/src/main/java/org/spoolline/Controller.java
+++ b/src/main/java/org/spoolline/Controller.java
@@ -97,6 +97,7 @@
 
     /** Serves users, workers and health checks. */
     public void serve(Http.Request request, Consumer<Http.Response> answer) {
+        leadership.tend();
         String path = request.path();
         if (path.equals("/checkin")) {
             checkIns.handle(request, answer);
--- a/src/main/java/org/spoolline/leadership/Leadership.java
+++ b/src/main/java/org/spoolline/leadership/Leadership.java
@@ -45,6 +45,8 @@
     private long keyVersion;
     private long lease;
     private long validUntil;
+    private long renewDueAt;
+    private boolean renewing;
     private boolean standing;
     private long mayStandAt = Long.MIN_VALUE;
 
@@ -246,19 +248,39 @@
             state.leading(true);
             LOG.info("elected with token {}", token);
             listener.elected(token, keyVersion);
-            loop.after(settings.renewMs(), () -> renew(next));
+            renewing = false;
+            renewAfter(settings.renewMs());
         });
     }
 
-    private void renew(long mine) {
-        if (!leading || token != mine) {
-            return;
+    private void renewAfter(long delayMs) {
+        long mine = token;
+        renewDueAt = loop.now() + delayMs;
+        loop.after(delayMs, () -> {
+            if (token == mine) {
+                tend();
+            }
+        });
+    }
+
+    /**
+     * Renews if it is time. Called before each request too: a cold process whose loop is busy with hundreds of workers
+     * comes to its timers so late that its leadership ended unrenewed, and another cold process took it over, by turns.
+     */
+    public void tend() {
+        if (leading && !renewing && loop.now() >= renewDueAt) {
+            renew(token);
         }
+    }
+
+    private void renew(long mine) {
+        renewing = true;
         long sent = loop.now();
         state.renewLease(lease, status -> {
             if (!leading || token != mine) {
                 return;
             }
+            renewing = false;
             if (status == 200) {
                 validUntil = Math.max(validUntil, settings.leadershipEnds(sent));
             } else if (status == 404) {
@@ -266,7 +288,7 @@
                 return;
             }
             // Any other answer proves nothing: the lease may outlive an outage, and then we still lead.
-            loop.after(status == 200 ? settings.renewMs() : Constants.RETRY_MS, () -> renew(mine));
+            renewAfter(status == 200 ? settings.renewMs() : Constants.RETRY_MS);
         });
     }
 }
--- /dev/null
+++ b/src/test/java/org/spoolline/leadership/LeadershipTest.java
@@ -0,0 +1,123 @@
+package org.spoolline.leadership;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+import org.spoolline.net.Http;
+import org.spoolline.net.Json;
+import org.spoolline.net.Loop;
+import org.spoolline.settings.OperatorSettings;
+import org.spoolline.settings.Settings;
+import org.spoolline.state.StateClient;
+
+/** One node's leadership with a loop that may be late and a state service that may be silent. */
+class LeadershipTest {
+    private record Timer(long at, Runnable task) {
+    }
+
+    private static final Settings SETTINGS = new Settings("n", "a", "n:1", "n:2", List.of(), "cloud:1", "state:1", 1, Map.of(),
+            List.of(), new Settings.Workers(3_000, 16_000, 30_000, 5_000, 46_000), new Settings.State(100, 100, 8_192, 12),
+            new Settings.Cloud(10, 6_000), new Settings.Quota(1, 300, 1_000), OperatorSettings.DEFAULTS);
+
+    private final List<Timer> timers = new ArrayList<>();
+    private final List<String> asked = new ArrayList<>();
+    private long now = 1_000;
+    private boolean silent;
+    private final Loop loop = new Loop() {
+        @Override
+        public long now() {
+            return now;
+        }
+
+        @Override
+        public long timeOfDay() {
+            return now;
+        }
+
+        @Override
+        public void after(long delayMs, Runnable task) {
+            timers.add(new Timer(now + delayMs, task));
+        }
+    };
+    private final Leadership leadership = new Leadership(loop, new SplittableRandom(1),
+            new StateClient(loop, this::state, SETTINGS), SETTINGS, new Leadership.Listener() {
+                @Override
+                public void elected(long token, long keyVersion) {
+                }
+
+                @Override
+                public void follows(String leader) {
+                }
+
+                @Override
+                public void deposed(String why) {
+                }
+            });
+
+    private void state(String target, String method, String path, byte[] body, long timeoutMs,
+                       java.util.function.Consumer<Http.Reply> done) {
+        asked.add(path);
+        if (silent) {
+            loop.after(timeoutMs, () -> done.accept(Http.Reply.NONE));
+        } else if (path.startsWith("/keys/")) {
+            done.accept(new Http.Reply(404, new byte[0]));
+        } else {
+            done.accept(new Http.Reply(200, Json.bytes(Json.object().put("ticket", 7).put("ledger", 5))));
+        }
+    }
+
+    private void runTo(long until) {
+        while (true) {
+            Timer next = timers.stream().min(Comparator.comparingLong(Timer::at)).filter(t -> t.at() <= until).orElse(null);
+            if (next == null) {
+                now = until;
+                return;
+            }
+            timers.remove(next);
+            now = Math.max(now, next.at());
+            next.task().run();
+        }
+    }
+
+    private long renewals() {
+        return asked.stream().filter(p -> p.endsWith("/touch")).count();
+    }
+
+    /** A busy loop comes to its timers late; requests that it serves meanwhile send the renewal in time. */
+    @Test
+    void aLateLoopRenewsBeforeItServesARequest() {
+        leadership.start();
+        runTo(1_500);
+        assertTrue(leadership.valid());
+        now += SETTINGS.renewMs() * 2;
+        leadership.tend();
+        leadership.tend();
+        assertEquals(1, renewals(), "one renewal, not one a request");
+        // The timer of before is late by now, and finds nothing to do.
+        runTo(now);
+        assertEquals(1, renewals());
+        runTo(now + 20_000);
+        assertTrue(leadership.valid());
+        assertTrue(renewals() >= 20_000 / SETTINGS.renewMs() - 1, "renewals " + renewals());
+    }
+
+    @Test
+    void withoutAnswersLeadershipEndsAndKeepAliveAfterIt() {
+        leadership.start();
+        runTo(1_500);
+        silent = true;
+        runTo(now + SETTINGS.leadershipMs() + SETTINGS.renewMs());
+        leadership.tend();
+        assertFalse(leadership.valid());
+        assertTrue(leadership.mayKeepAlive());
+        runTo(now + SETTINGS.keepAliveMs());
+        assertFalse(leadership.mayKeepAlive());
+    }
+}
