--- a/src/main/java/org/spoolline/settings/Constants.java
+++ b/src/main/java/org/spoolline/settings/Constants.java
@@ -50,6 +50,8 @@
     public static final int RENEWALS = 5;
     /** Ms taken off every time bound for timer steps and scheduling delay. */
     public static final long MARGIN_MS = 500;
+    /** Ms between two looks at how late the loop runs. */
+    public static final long LAG_TICK_MS = 250;
     /** Ms at most for which a timer that fired late waits for an answer that came in time. */
     public static final long LATE_GRACE_MS = 2_000;
     /** Relative drift between two steady clocks, doubled for safety (the protocol allows 0.0005). */
