--- a/src/main/java/org/spoolline/cli/Main.java
+++ b/src/main/java/org/spoolline/cli/Main.java
@@ -111,7 +111,7 @@
     private static void listen(Loop loop, UndertowServer server, String address, Http.Handler handler, int tries) {
         try {
             server.listen(address, handler);
-        } catch (RuntimeException e) {
+        } catch (IOException | RuntimeException e) {
             Throwable cause = rootOf(e);
             if (tries > 1 && cause instanceof BindException) {
                 loop.after(Constants.BIND_RETRY_MS, () -> listen(loop, server, address, handler, tries - 1));
@@ -173,7 +173,7 @@
         Loop loop = new XnioLoop(thread, guard);
         Controller controller = new Controller(settings, loop,
                 new UndertowCaller(thread, buffers, settings.idleConnections(), guard), new SplittableRandom());
-        UndertowServer server = new UndertowServer(worker, buffers, settings.backlog(), guard);
+        UndertowServer server = new UndertowServer(worker, buffers, settings.backlog(), guard, controller::isLate);
         log.info("{} is to serve users and workers on {}, controllers on {}", settings.node(), settings.serveOn(),
                 settings.internalAddress());
         settings.shortages().forEach(s -> log.error("too little to serve in full: {}", s));
