--- a/src/main/java/org/spoolline/Controller.java
+++ b/src/main/java/org/spoolline/Controller.java
@@ -84,11 +84,6 @@
         peers.tellLeader(uid);
     }
 
-    /** True while the loop is behind with its work. */
-    public boolean isLate() {
-        return lag.isLate();
-    }
-
     /** Starts; {@code onOriented} runs whenever this node has come to know who leads, itself or another. */
     public void start(Runnable onOriented) {
         oriented = onOriented;
--- a/src/main/java/org/spoolline/cli/Main.java
+++ b/src/main/java/org/spoolline/cli/Main.java
@@ -173,7 +173,7 @@
         Loop loop = new XnioLoop(thread, guard);
         Controller controller = new Controller(settings, loop,
                 new UndertowCaller(thread, buffers, settings.idleConnections(), guard), new SplittableRandom());
-        UndertowServer server = new UndertowServer(worker, buffers, settings.backlog(), guard, controller::isLate);
+        UndertowServer server = new UndertowServer(worker, buffers, settings.backlog(), guard);
         log.info("{} is to serve users and workers on {}, controllers on {}", settings.node(), settings.serveOn(),
                 settings.internalAddress());
         settings.shortages().forEach(s -> log.error("too little to serve in full: {}", s));
--- a/src/main/java/org/spoolline/cli/Rehearsal.java
+++ b/src/main/java/org/spoolline/cli/Rehearsal.java
@@ -92,7 +92,7 @@
         Guard guard = Main.guard();
         loop = new XnioLoop(thread, guard);
         caller = new UndertowCaller(thread, buffers, settings.idleConnections(), guard);
-        new UndertowServer(worker, buffers, settings.backlog(), guard, () -> false).listen(outside, this::outside);
+        new UndertowServer(worker, buffers, settings.backlog(), guard).listen(outside, this::outside);
         Main.start(settings, worker);
         thread.execute(() -> {
             loop.after(600, () -> ask("POST", "/submissions", JOB.getBytes(StandardCharsets.UTF_8)));
--- a/src/main/java/org/spoolline/net/AcceptQueue.java
+++ b/src/main/java/org/spoolline/net/AcceptQueue.java
@@ -4,7 +4,6 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.spoolline.settings.Constants;
@@ -14,8 +13,8 @@
 /**
  * New connections, opened a few in each turn of the loop. After a crash of all controllers hundreds of workers come at once
  * to a cold process; opened as they came, they kept the loop from its timers and from the state service's answers for
- * longer than a leadership lasts. While the loop is late they are opened one by one, the newest first: whoever has waited
- * longest is the next to give up. Those that have given up are closed unread.
+ * longer than a leadership lasts. The newest come first: whoever has waited longest is the next to give up, and those that
+ * have given up are closed unread.
  */
 final class AcceptQueue<C extends Closeable> {
     private record Waiting<C>(C connection, long sinceMs) {
@@ -23,15 +22,13 @@
 
     private final XnioExecutor executor;
     private final LongSupplier clockMs;
-    private final BooleanSupplier late;
     private final Consumer<C> open;
     private final Deque<Waiting<C>> waiting = new ArrayDeque<>();
     private boolean scheduled;
 
-    AcceptQueue(XnioExecutor executor, LongSupplier clockMs, BooleanSupplier late, Consumer<C> open) {
+    AcceptQueue(XnioExecutor executor, LongSupplier clockMs, Consumer<C> open) {
         this.executor = executor;
         this.clockMs = clockMs;
-        this.late = late;
         this.open = open;
     }
 
@@ -48,14 +45,13 @@
         while (!waiting.isEmpty() && now - waiting.peekFirst().sinceMs() > Constants.ACCEPT_PATIENCE_MS) {
             IoUtils.safeClose(waiting.pollFirst().connection());
         }
-        boolean behind = late.getAsBoolean();
-        for (int left = behind ? 1 : Constants.ACCEPTS_A_TURN; left > 0 && !waiting.isEmpty(); left--) {
+        for (int left = Constants.ACCEPTS_A_TURN; left > 0 && !waiting.isEmpty(); left--) {
             open.accept(waiting.pollLast().connection());
         }
         scheduled = !waiting.isEmpty();
         if (scheduled) {
             // A timer, however short, comes after the loop's next look at the network.
-            executor.executeAfter(this::turn, behind ? Constants.ACCEPT_PAUSE_MS : 1, TimeUnit.MILLISECONDS);
+            executor.executeAfter(this::turn, 1, TimeUnit.MILLISECONDS);
         }
     }
 }
--- a/src/main/java/org/spoolline/net/UndertowServer.java
+++ b/src/main/java/org/spoolline/net/UndertowServer.java
@@ -11,7 +11,6 @@
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.util.Arrays;
-import java.util.function.BooleanSupplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.spoolline.settings.Constants;
@@ -31,18 +30,13 @@
     private final ByteBufferPool buffers;
     private final int backlog;
     private final Guard guard;
-    private final BooleanSupplier late;
 
-    /**
-     * {@code backlog}: connections that may wait to be accepted, as when all workers come from a node that ended;
-     * {@code late}: whether the loop is behind with its work.
-     */
-    public UndertowServer(XnioWorker worker, ByteBufferPool buffers, int backlog, Guard guard, BooleanSupplier late) {
+    /** {@code backlog}: connections that may wait to be accepted, as when all workers come from a node that ended. */
+    public UndertowServer(XnioWorker worker, ByteBufferPool buffers, int backlog, Guard guard) {
         this.worker = worker;
         this.buffers = buffers;
         this.backlog = backlog;
         this.guard = guard;
-        this.late = late;
     }
 
     /** Starts listening; throws when the address can't be bound. */
@@ -56,7 +50,7 @@
                 .getMap();
         HttpOpenListener opener = new HttpOpenListener(buffers, http);
         opener.setRootHandler(exchange -> receive(exchange, handler));
-        AcceptQueue<StreamConnection> queue = new AcceptQueue<>(worker.getIoThread(), XnioLoop::clockMs, late,
+        AcceptQueue<StreamConnection> queue = new AcceptQueue<>(worker.getIoThread(), XnioLoop::clockMs,
                 opener::handleEvent);
         OptionMap socket = OptionMap.builder().set(Options.TCP_NODELAY, true).set(Options.REUSE_ADDRESSES, true)
                 .set(Options.BACKLOG, backlog).getMap();
--- a/src/main/java/org/spoolline/settings/Constants.java
+++ b/src/main/java/org/spoolline/settings/Constants.java
@@ -15,8 +15,6 @@
     public static final int READ_CHUNK_BYTES = 4096;
     /** New connections opened in one turn of the loop: some tens of ms of a cold process on a small share of a core. */
     public static final int ACCEPTS_A_TURN = 16;
-    /** Ms between two new connections while the loop is late. */
-    public static final long ACCEPT_PAUSE_MS = 40;
     /** Ms after which an unopened connection is closed: a worker has given its report up by then. */
     public static final long ACCEPT_PATIENCE_MS = 3_500;
     /** Bytes of one pooled network buffer: a check-in fits, and a thousand connections stay affordable. */
