--- a/src/main/java/org/spoolline/Controller.java
+++ b/src/main/java/org/spoolline/Controller.java
@@ -11,7 +11,6 @@
 import org.spoolline.net.Http;
 import org.spoolline.net.Json;
 import org.spoolline.net.Loop;
-import org.spoolline.net.LoopLag;
 import org.spoolline.peers.Peers;
 import org.spoolline.placement.JobTable;
 import org.spoolline.placement.Rounds;
@@ -33,7 +32,6 @@
     private final Rounds rounds;
     private final Fleet fleet;
     private final Peers peers;
-    private final LoopLag lag;
     private Runnable oriented = () -> { };
 
     public Controller(Settings settings, Loop loop, Http.Caller http, RandomGenerator random) {
@@ -46,8 +44,8 @@
         MachineTable machines = new MachineTable();
         rounds = new Rounds(loop, settings, state, leadership, freshness, catalog, machines, jobs);
         fleet = new Fleet(loop, http, settings, leadership, catalog, machines, rounds::poke);
-        lag = new LoopLag(loop);
-        checkIns = new CheckIns(loop, http, settings, leadership, freshness, machines, jobs, rounds, lag, rounds::heard);
+        checkIns = new CheckIns(loop, http, settings, leadership, freshness, machines, jobs, rounds,
+                rounds::heard);
         rounds.connect(fleet, new Rounds.Outcomes() {
             @Override
             public void loaded() {
@@ -91,7 +89,6 @@
     }
 
     public void start() {
-        lag.start();
         leadership.start();
         catalog.start();
         peers.start();
--- a/src/main/java/org/spoolline/cli/Main.java
+++ b/src/main/java/org/spoolline/cli/Main.java
@@ -111,7 +111,7 @@
     private static void listen(Loop loop, UndertowServer server, String address, Http.Handler handler, int tries) {
         try {
             server.listen(address, handler);
-        } catch (IOException | RuntimeException e) {
+        } catch (RuntimeException e) {
             Throwable cause = rootOf(e);
             if (tries > 1 && cause instanceof BindException) {
                 loop.after(Constants.BIND_RETRY_MS, () -> listen(loop, server, address, handler, tries - 1));
--- a/src/main/java/org/spoolline/net/UndertowServer.java
+++ b/src/main/java/org/spoolline/net/UndertowServer.java
@@ -1,31 +1,22 @@
 package org.spoolline.net;
 
+import io.undertow.Undertow;
 import io.undertow.UndertowOptions;
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.server.HttpServerExchange;
-import io.undertow.server.protocol.http.HttpOpenListener;
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.util.Arrays;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 import org.spoolline.settings.Constants;
 import org.xnio.IoUtils;
-import org.xnio.OptionMap;
 import org.xnio.Options;
-import org.xnio.StreamConnection;
 import org.xnio.XnioWorker;
-import org.xnio.channels.AcceptingChannel;
 import org.xnio.channels.StreamSourceChannel;
 
 /** Listens on addresses and serves their handlers on the worker's I/O thread. */
 public final class UndertowServer {
-    private static final Logger LOG = LoggerFactory.getLogger(UndertowServer.class);
-
     private final XnioWorker worker;
     private final ByteBufferPool buffers;
     private final int backlog;
@@ -40,33 +31,20 @@
     }
 
     /** Starts listening; throws when the address can't be bound. */
-    public void listen(String address, Http.Handler handler) throws IOException {
+    public void listen(String address, Http.Handler handler) {
         int colon = address.lastIndexOf(':');
-        OptionMap http = OptionMap.builder()
-                .set(UndertowOptions.ALWAYS_SET_DATE, false)
-                .set(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
-                .set(UndertowOptions.NO_REQUEST_TIMEOUT, Constants.IDLE_CONNECTION_MS)
-                .set(UndertowOptions.RECORD_REQUEST_START_TIME, false)
-                .getMap();
-        HttpOpenListener opener = new HttpOpenListener(buffers, http);
-        opener.setRootHandler(exchange -> receive(exchange, handler));
-        AcceptQueue<StreamConnection> queue = new AcceptQueue<>(worker.getIoThread(), XnioLoop::clockMs,
-                opener::handleEvent);
-        OptionMap socket = OptionMap.builder().set(Options.TCP_NODELAY, true).set(Options.REUSE_ADDRESSES, true)
-                .set(Options.BACKLOG, backlog).getMap();
-        worker.createStreamConnectionServer(new InetSocketAddress(InetAddress.getByName(address.substring(0, colon)),
-                Integer.parseInt(address.substring(colon + 1))), channel -> accept(channel, queue), socket).resumeAccepts();
-    }
-
-    private static void accept(AcceptingChannel<StreamConnection> channel, AcceptQueue<StreamConnection> queue) {
-        try {
-            StreamConnection connection = channel.accept();
-            if (connection != null) {
-                queue.add(connection);
-            }
-        } catch (IOException e) {
-            LOG.info("a connection can't be accepted: {}", e.toString());
-        }
+        Undertow server = Undertow.builder()
+                .setWorker(worker)
+                .setByteBufferPool(buffers)
+                .setSocketOption(Options.BACKLOG, backlog)
+                .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
+                .setServerOption(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
+                .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, Constants.IDLE_CONNECTION_MS)
+                .setServerOption(UndertowOptions.RECORD_REQUEST_START_TIME, false)
+                .addHttpListener(Integer.parseInt(address.substring(colon + 1)), address.substring(0, colon),
+                        exchange -> receive(exchange, handler))
+                .build();
+        server.start();
     }
 
     private void receive(HttpServerExchange exchange, Http.Handler handler) {
--- a/src/main/java/org/spoolline/settings/Constants.java
+++ b/src/main/java/org/spoolline/settings/Constants.java
@@ -13,10 +13,6 @@
     public static final byte[] BODY_TOO_LARGE = "{\"error\":\"body over 64 KiB\"}".getBytes(StandardCharsets.UTF_8);
     /** Bytes read from a response at once: most answers fit, and the buffer is short-lived. */
     public static final int READ_CHUNK_BYTES = 4096;
-    /** New connections opened in one turn of the loop: some tens of ms of a cold process on a small share of a core. */
-    public static final int ACCEPTS_A_TURN = 16;
-    /** Ms after which an unopened connection is closed: a worker has given its report up by then. */
-    public static final long ACCEPT_PATIENCE_MS = 3_500;
     /** Bytes of one pooled network buffer: a check-in fits, and a thousand connections stay affordable. */
     public static final int BUFFER_BYTES = 4096;
     /** Buffers kept in the pool: bounds idle memory at 1 MiB. */
@@ -54,8 +50,6 @@
     public static final int RENEWALS = 5;
     /** Ms taken off every time bound for timer steps and scheduling delay. */
     public static final long MARGIN_MS = 500;
-    /** Ms between two looks at how late the loop runs. */
-    public static final long LAG_TICK_MS = 250;
     /** Ms at most for which a timer that fired late waits for an answer that came in time. */
     public static final long LATE_GRACE_MS = 2_000;
     /** Relative drift between two steady clocks, doubled for safety (the protocol allows 0.0005). */
--- a/src/main/java/org/spoolline/workers/CheckIns.java
+++ b/src/main/java/org/spoolline/workers/CheckIns.java
@@ -16,7 +16,6 @@
 import org.spoolline.net.Http;
 import org.spoolline.net.Json;
 import org.spoolline.net.Loop;
-import org.spoolline.net.LoopLag;
 import org.spoolline.pipeline.Attempt;
 import org.spoolline.placement.JobTable;
 import org.spoolline.settings.Constants;
@@ -47,7 +46,6 @@
     private final MachineTable machines;
     private final JobTable jobs;
     private final Wishes wishes;
-    private final LoopLag lag;
     private final Consumer<Machine> news;
     private final Map<String, Held> waiting = new LinkedHashMap<>();
     /** Machines to be nudged once others have answered: a nudge takes a socket, and sockets are few. */
@@ -57,7 +55,7 @@
     private long lastHeardAt;
 
     public CheckIns(Loop loop, Http.Caller http, Settings settings, Leadership leadership, Freshness freshness,
-                    MachineTable machines, JobTable jobs, Wishes wishes, LoopLag lag, Consumer<Machine> news) {
+                    MachineTable machines, JobTable jobs, Wishes wishes, Consumer<Machine> news) {
         this.loop = loop;
         this.http = http;
         this.settings = settings;
@@ -67,7 +65,6 @@
         this.machines = machines;
         this.jobs = jobs;
         this.wishes = wishes;
-        this.lag = lag;
         this.news = news;
     }
 
@@ -188,7 +185,6 @@
         }
 
         void answer(boolean withOrders) {
-            leadership.tend();
             if (!freshness.mayRenewLeases() || machine.gone()) {
                 answer.accept(Http.Response.of(503, Json.error("too long without contact to renew a lease")));
                 return;
@@ -211,14 +207,9 @@
     /**
      * Makes machines report at once, so that orders reach them without waiting for the regular report: a command
      * without orders that shows a higher token. It starts nothing, so it may arrive as late as it likes. A worker
-     * heeds a higher token once per half of its lease. Only so many are under way at once; the rest take turns. A late
-     * loop sends none: it is behind with the reports that it has, and each nudge costs it a connection and one more.
+     * heeds a higher token once per half of its lease. Only so many are under way at once; the rest take turns.
      */
     public void nudge(Collection<String> names) {
-        if (lag.isLate()) {
-            toNudge.clear();
-            return;
-        }
         toNudge.addAll(names);
         while (nudging < settings.nudgesAtOnce() && !toNudge.isEmpty()) {
             String name = toNudge.iterator().next();
--- a/src/test/java/org/spoolline/net/TimeoutTest.java
+++ b/src/test/java/org/spoolline/net/TimeoutTest.java
@@ -1,47 +1,68 @@
 package org.spoolline.net;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
-import org.spoolline.settings.Constants;
+import org.xnio.XnioExecutor;
 
 /** Calls on a loop whose lateness the test decides. */
 class TimeoutTest {
-    private final HandLoop loop = new HandLoop();
-    private final long start = loop.now;
+    private final List<Runnable> timers = new ArrayList<>();
+    private final List<Long> delays = new ArrayList<>();
+    private long now;
     private int expired;
+    private final XnioExecutor loop = new XnioExecutor() {
+        @Override
+        public void execute(Runnable task) {
+            task.run();
+        }
 
-    private Timeout call() {
-        return new Timeout(loop, () -> loop.now, 1_000, () -> expired++);
+        @Override
+        public Key executeAfter(Runnable task, long time, TimeUnit unit) {
+            timers.add(task);
+            delays.add(unit.toMillis(time));
+            return () -> timers.remove(task);
+        }
+
+        @Override
+        public Key executeAtInterval(Runnable task, long time, TimeUnit unit) {
+            throw new UnsupportedOperationException();
+        }
+    };
+
+    private void fire(long at) {
+        now = at;
+        timers.remove(0).run();
     }
 
     @Test
     void aTimerInTimeGivesTheCallUp() {
-        call();
-        loop.turn(start + 1_010);
+        new Timeout(loop, () -> now, 1_000, () -> expired++);
+        fire(1_010);
         assertEquals(1, expired);
-        assertTrue(loop.idle());
+        assertEquals(List.of(), timers);
     }
 
     /** An answer that was there before the late timer is read in between, and cancels it. */
     @Test
     void aLateTimerWaitsForTheNetworkOnceMore() {
-        Timeout timeout = call();
-        loop.turn(start + 2_200);
+        Timeout timeout = new Timeout(loop, () -> now, 1_000, () -> expired++);
+        fire(2_200);
         assertEquals(0, expired);
-        assertEquals(List.of(1_000L, 1_200L), loop.delays);
+        assertEquals(List.of(1_000L, 1_200L), delays);
         timeout.cancel();
-        assertTrue(loop.idle());
+        assertEquals(List.of(), timers);
     }
 
     @Test
     void aCallWithoutAnswerIsGivenUpAllTheSame() {
-        call();
-        loop.turn(start + 60_000);
-        assertEquals(Constants.LATE_GRACE_MS, loop.delays.get(1));
-        loop.turn(start + 63_000);
+        new Timeout(loop, () -> now, 1_000, () -> expired++);
+        fire(60_000);
+        assertEquals(2_000L, delays.get(1));
+        fire(63_000);
         assertEquals(1, expired);
     }
 }
