--- a/src/test/java/org/spoolline/world/Days.java
+++ b/src/test/java/org/spoolline/world/Days.java
@@ -43,6 +43,15 @@
         }
     }
 
+    /** The end of a day on which nobody cancels. */
+    static void everyJobIsDone(World world, int seed) {
+        world.rules.dayIsOver();
+        assertEquals(List.of(), world.rules.broken(), "seed " + seed);
+        for (Users.Job job : world.users.jobs()) {
+            assertEquals("done", job.status(), "seed " + seed + ": " + job.uid());
+        }
+    }
+
     static Users.Job jobOf(World world, int n) {
         return switch (n % 4) {
             case 0 -> world.users.job("blue", "batch", 12, 1, 15);
--- a/src/test/java/org/spoolline/world/GapTest.java
+++ b/src/test/java/org/spoolline/world/GapTest.java
@@ -6,6 +6,8 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.BiConsumer;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -30,14 +32,16 @@
             assertTrue(running() > 0, "nothing runs");
         }
 
+        private Stream<FakeWorker.Task> runningTasks() {
+            return world.workers().values().stream().flatMap(w -> w.tasks().stream()).filter(t -> t.phase.equals("running"));
+        }
+
         long running() {
-            return world.workers().values().stream().flatMap(w -> w.tasks().stream()).filter(t -> t.phase.equals("running"))
-                    .count();
+            return runningTasks().count();
         }
 
         long confirmedRunning() {
-            return world.workers().values().stream().flatMap(w -> w.tasks().stream())
-                    .filter(t -> t.phase.equals("running") && world.users.job(t.uid).status().equals("aborted")).count();
+            return runningTasks().filter(t -> world.users.job(t.uid).status().equals("aborted")).count();
         }
 
         void cancelAll() {
@@ -48,9 +52,19 @@
             return jobs.stream().filter(j -> j.status().equals("aborted")).count();
         }
 
-        void keepsTheRules(int seed) {
-            assertEquals(List.of(), world.rules.broken(), "seed " + seed);
-            assertEquals(jobs.size(), confirmed(), "seed " + seed);
+        void assertSomeConfirmed() {
+            assertTrue(confirmed() > 0, "nothing was confirmed in the gap");
+        }
+    }
+
+    /** Plays the troubles for so long, with several seeds: every cancellation is confirmed, and no rule breaks. */
+    private static void play(double seconds, BiConsumer<Scene, World> troubles) {
+        for (int seed = 1; seed <= 2 * SEEDS; seed++) {
+            Scene scene = new Scene(seed);
+            troubles.accept(scene, scene.world);
+            scene.world.run(seconds);
+            assertEquals(List.of(), scene.world.rules.broken(), "seed " + seed);
+            assertEquals(scene.jobs.size(), scene.confirmed(), "seed " + seed);
         }
     }
 
@@ -66,9 +80,7 @@
     }
 
     private static void gap(boolean peersTalk) {
-        for (int seed = 1; seed <= 2 * SEEDS; seed++) {
-            Scene scene = new Scene(seed);
-            World world = scene.world;
+        play(160, (scene, world) -> {
             for (String node : world.nodes.keySet()) {
                 if (!peersTalk && !node.equals(scene.leader)) {
                     world.cut(node, scene.leader, World.Cut.LOSE);
@@ -77,42 +89,34 @@
             world.state.refuse(scene.leader, 14);
             world.at(200, scene::cancelAll);
             world.at(2_600, () -> {
-                assertTrue(scene.confirmed() > 0, "nothing was confirmed in the gap");
+                scene.assertSomeConfirmed();
                 assertTrue(peersTalk || scene.running() > 0, "nothing ran on");
                 world.state.outage(65);
             });
             world.at(9_000, () -> assertEquals(peersTalk, scene.confirmedRunning() == 0, "running of those confirmed"));
             world.at(10_000, () -> assertTrue(world.workers().values().stream().anyMatch(w -> !w.dead()
                     && w.reportsTo().equals(scene.leader)), "nobody reports to the old leader"));
-            world.run(160);
-            scene.keepsTheRules(seed);
-        }
+        });
     }
 
     /** Renewals got through while the watch was still: an old view kept its leadership and the workers' leases. */
     @Test
     void renewalsGetThroughButNoNewsOfCancellationsAndThenNothingDoes() {
-        for (int seed = 1; seed <= 2 * SEEDS; seed++) {
-            Scene scene = new Scene(seed);
-            World world = scene.world;
+        play(170, (scene, world) -> {
             world.state.loseWatches(scene.leader, 90);
             world.at(2_000, scene::cancelAll);
             // By then the confirmation is old; only the renewals of leadership are young.
             world.at(20_000, () -> {
-                assertTrue(scene.confirmed() > 0, "nothing was confirmed in the gap");
+                scene.assertSomeConfirmed();
                 world.state.outage(65);
             });
-            world.run(170);
-            scene.keepsTheRules(seed);
-        }
+        });
     }
 
     /** No spell may set the clock of an earlier confirmation anew, also not by a renewal between two of them. */
     @Test
     void severalSpellsInARowWithRenewalsBetween() {
-        for (int seed = 1; seed <= 2 * SEEDS; seed++) {
-            Scene scene = new Scene(seed);
-            World world = scene.world;
+        play(200, (scene, world) -> {
             world.state.loseWatches(scene.leader, 120);
             world.at(300, scene::cancelAll);
             for (int i = 0; i < 6; i++) {
@@ -121,27 +125,21 @@
                     world.at(1_500, () -> world.state.outage(14));
                 });
             }
-            world.at(2_500, () -> assertTrue(scene.confirmed() > 0, "nothing was confirmed in the gap"));
-            world.run(200);
-            scene.keepsTheRules(seed);
-        }
+            world.at(2_500, scene::assertSomeConfirmed);
+        });
     }
 
     /** Each new leader once renewed the leases of whoever reported before it had read which jobs are cancelled. */
     @Test
     void leadersThatReadNothingFollowOneAnother() {
-        for (int seed = 1; seed <= 2 * SEEDS; seed++) {
-            Scene scene = new Scene(seed);
-            World world = scene.world;
+        play(220, (scene, world) -> {
             world.state.refuseListings(100);
             world.crashFor(scene.leader, 0.3);
             world.at(100, scene::cancelAll);
-            world.at(6_000, () -> assertTrue(scene.confirmed() > 0, "nothing was confirmed"));
+            world.at(6_000, scene::assertSomeConfirmed);
             for (int i = 1; i <= 10; i++) {
                 world.at(i * 9_000L, () -> world.crashFor(Days.leader(world), 0.3));
             }
-            world.run(220);
-            scene.keepsTheRules(seed);
-        }
+        });
     }
 }
--- a/src/test/java/org/spoolline/world/MeetingsTest.java
+++ b/src/test/java/org/spoolline/world/MeetingsTest.java
@@ -6,6 +6,7 @@
 import static org.spoolline.world.Days.SEEDS;
 import static org.spoolline.world.Days.busy;
 import static org.spoolline.world.Days.day;
+import static org.spoolline.world.Days.everyJobIsDone;
 import static org.spoolline.world.Days.jobOf;
 import static org.spoolline.world.Days.leader;
 
@@ -173,13 +174,6 @@
         }
     }
 
-    private static void everyJobIsDone(World world, int seed) {
-        assertEquals(List.of(), world.rules.broken(), "seed " + seed);
-        for (Users.Job job : world.users.jobs()) {
-            assertEquals("done", job.status(), "seed " + seed + ": " + job.uid());
-        }
-    }
-
     @Test
     void theLeaderEndsWhileMachinesWithLongTasksAreSilentOrDoNotHearTheNewOne() {
         day(420, world -> {
--- a/src/test/java/org/spoolline/world/StoriesTest.java
+++ b/src/test/java/org/spoolline/world/StoriesTest.java
@@ -6,6 +6,7 @@
 import static org.spoolline.world.Days.SEEDS;
 import static org.spoolline.world.Days.busy;
 import static org.spoolline.world.Days.day;
+import static org.spoolline.world.Days.everyJobIsDone;
 import static org.spoolline.world.Days.jobOf;
 import static org.spoolline.world.Days.leader;
 
@@ -17,15 +18,6 @@
 
 /** Days of a small deployment, each with its trouble, under an independent check of the rules. */
 class StoriesTest {
-    /** The end of a day on which nobody cancels. */
-    private static void everyJobIsDone(World world, int seed) {
-        world.rules.dayIsOver();
-        assertEquals(List.of(), world.rules.broken(), "seed " + seed);
-        for (Users.Job job : world.users.jobs()) {
-            assertEquals("done", job.status(), "seed " + seed + ": " + job.uid());
-        }
-    }
-
     /** Without this, a failure could not be looked into again. */
     @Test
     void theSameSeedReplaysTheSameDay() {
--- a/src/test/java/org/spoolline/world/Users.java
+++ b/src/test/java/org/spoolline/world/Users.java
@@ -172,7 +172,7 @@
     }
 
     boolean gang(String uid) {
-        return jobs.get(uid).body.path("shape").asText().equals("group");
+        return jobs.get(uid).gang();
     }
 
     boolean saves(String uid) {
