--- a/src/main/java/org/spoolline/cli/Main.java
+++ b/src/main/java/org/spoolline/cli/Main.java
@@ -9,10 +9,12 @@
 import java.util.concurrent.Callable;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.slf4j.simple.SimpleServiceProvider;
 import org.spoolline.Controller;
 import org.spoolline.net.Guard;
 import org.spoolline.net.Http;
 import org.spoolline.net.Loop;
+import org.spoolline.net.NoManagement;
 import org.spoolline.net.UndertowCaller;
 import org.spoolline.net.UndertowServer;
 import org.spoolline.net.XnioLoop;
@@ -23,9 +25,9 @@
 import org.spoolline.settings.SettingsFile;
 import org.xnio.OptionMap;
 import org.xnio.Options;
-import org.xnio.Xnio;
 import org.xnio.XnioIoThread;
 import org.xnio.XnioWorker;
+import org.xnio.nio.NioXnioProvider;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
@@ -60,6 +62,11 @@
                 System.exit(2);
             }
         }
+        System.getProperties().putIfAbsent("javax.management.builder.initial", NoManagement.class.getName());
+        System.setProperty("jboss.threads.eqe.register-mbean", "false");
+        // Formatting a number in a locale other than this one loads the locale data of the whole platform.
+        Locale.setDefault(Locale.US);
+        System.setProperty("slf4j.provider", SimpleServiceProvider.class.getName());
         System.setProperty("org.jboss.logging.provider", "slf4j");
         System.setProperty("org.slf4j.simpleLogger.defaultLogLevel", "error");
         System.setProperty("org.slf4j.simpleLogger.log.org.spoolline", level.toLowerCase(Locale.ROOT));
@@ -133,7 +140,7 @@
 
     /** One I/O thread, which is the loop; the single task thread idles. */
     static XnioWorker worker() throws IOException {
-        return Xnio.getInstance().createWorker(OptionMap.builder()
+        return new NioXnioProvider().getInstance().createWorker(OptionMap.builder()
                 .set(Options.WORKER_IO_THREADS, 1)
                 .set(Options.WORKER_TASK_CORE_THREADS, 1)
                 .set(Options.WORKER_TASK_MAX_THREADS, 1)
--- a/src/main/java/org/spoolline/cli/Rehearsal.java
+++ b/src/main/java/org/spoolline/cli/Rehearsal.java
@@ -6,6 +6,8 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -43,7 +45,7 @@
         node = "127.0.0.1:" + freePort();
         String inner = "127.0.0.1:" + freePort();
         String outside = "127.0.0.1:" + freePort();
-        Settings settings = SettingsFile.parse("""
+        Settings settings = SettingsFile.read(settingsFile("""
                 node_name = "rehearsal"
                 domain = "a"
                 serve_on = "%s"
@@ -85,7 +87,7 @@
                 cpu_share = 1.0
                 ram_mb = 200.0
                 sockets = 100
-                """.formatted(node, inner, inner, outside, outside));
+                """.formatted(node, inner, inner, outside, outside)));
         XnioWorker worker = Main.worker();
         XnioIoThread thread = worker.getIoThread();
         DefaultByteBufferPool buffers = Main.buffers();
@@ -104,6 +106,13 @@
         return over.await(20, TimeUnit.SECONDS);
     }
 
+    /** The file is read as in a real start, so that the classes which that takes are recorded too. */
+    private static Path settingsFile(String toml) throws IOException {
+        Path file = Files.createTempFile("spoolline", ".toml");
+        file.toFile().deleteOnExit();
+        return Files.writeString(file, toml);
+    }
+
     private static int freePort() throws IOException {
         try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
             return socket.getLocalPort();
--- a/src/main/java/org/spoolline/net/UndertowCaller.java
+++ b/src/main/java/org/spoolline/net/UndertowCaller.java
@@ -3,8 +3,9 @@
 import io.undertow.client.ClientCallback;
 import io.undertow.client.ClientConnection;
 import io.undertow.client.ClientExchange;
+import io.undertow.client.ClientProvider;
 import io.undertow.client.ClientRequest;
-import io.undertow.client.UndertowClient;
+import io.undertow.client.http.HttpClientProvider;
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
@@ -28,6 +29,9 @@
 
 /** Calls over kept-open connections, one request at a time on each, all on the loop's thread. */
 public final class UndertowCaller implements Http.Caller {
+    /** Named here, since looking providers up loads those of every protocol. */
+    private static final ClientProvider HTTP = new HttpClientProvider();
+
     private final XnioIoThread thread;
     private final ByteBufferPool buffers;
     private final int keep;
@@ -103,7 +107,7 @@
                 send(open);
                 return;
             }
-            UndertowClient.getInstance().connect(new ClientCallback<>() {
+            HTTP.connect(new ClientCallback<>() {
                 @Override
                 public void completed(ClientConnection fresh) {
                     if (over) {
@@ -117,7 +121,7 @@
                 public void failed(IOException e) {
                     fail();
                 }
-            }, URI.create("http://" + target), thread, buffers, OptionMap.EMPTY);
+            }, URI.create("http://" + target), thread, null, buffers, OptionMap.EMPTY);
         }
 
         private void send(ClientConnection on) {
--- a/src/main/java/org/spoolline/peers/Cbor.java
+++ b/src/main/java/org/spoolline/peers/Cbor.java
@@ -1,28 +1,29 @@
 package org.spoolline.peers;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.MissingNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.fasterxml.jackson.dataformat.cbor.CBORFactory;
 import java.io.IOException;
+import java.io.UncheckedIOException;
+import org.spoolline.codec.TreeCodec;
 
 /** CBOR trees, the form of everything that controllers tell one another. */
 final class Cbor {
-    private static final ObjectMapper MAPPER = new ObjectMapper(new CBORFactory());
+    private static final TreeCodec CODEC = new TreeCodec(new CBORFactory());
 
     private Cbor() {
     }
 
     static ObjectNode object() {
-        return MAPPER.createObjectNode();
+        return JsonNodeFactory.instance.objectNode();
     }
 
     /** The tree, or a missing node when the bytes are not CBOR. */
     static JsonNode read(byte[] bytes) {
         try {
-            JsonNode tree = MAPPER.readTree(bytes);
-            return tree == null ? MissingNode.getInstance() : tree;
+            return CODEC.read(bytes);
         } catch (IOException e) {
             return MissingNode.getInstance();
         }
@@ -30,9 +31,9 @@
 
     static byte[] bytes(JsonNode tree) {
         try {
-            return MAPPER.writeValueAsBytes(tree);
+            return CODEC.write(tree);
         } catch (IOException e) {
-            throw new IllegalStateException(e);
+            throw new UncheckedIOException(e);
         }
     }
 }
--- a/src/main/java/org/spoolline/settings/SettingsFile.java
+++ b/src/main/java/org/spoolline/settings/SettingsFile.java
@@ -2,7 +2,7 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.dataformat.toml.TomlMapper;
+import com.fasterxml.jackson.dataformat.toml.TomlFactory;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.NoSuchFileException;
@@ -11,6 +11,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import org.spoolline.codec.TreeCodec;
 
 /** Reads and checks the platform's TOML file; unknown fields are ignored. */
 public final class SettingsFile {
@@ -35,9 +36,11 @@
     public static Settings parse(String toml) throws SettingsException {
         JsonNode root;
         try {
-            root = new TomlMapper().readTree(toml);
+            root = new TreeCodec(new TomlFactory()).read(toml);
         } catch (JsonProcessingException e) {
             throw new SettingsException("settings are not valid TOML: " + e.getOriginalMessage());
+        } catch (IOException e) {
+            throw new SettingsException("settings are not valid TOML: " + e.getMessage());
         }
         return new SettingsFile(root).settings();
     }
--- a/src/test/java/org/spoolline/world/Users.java
+++ b/src/test/java/org/spoolline/world/Users.java
@@ -1,6 +1,7 @@
 package org.spoolline.world;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -14,6 +15,8 @@
 
 /** Users who submit, poll and cancel through any node that answers, and know what their tasks do. */
 public final class Users {
+    private static final ObjectMapper VALUES = new ObjectMapper();
+
     private static final long SUBMIT_MS = 5_000;
     private static final long POLL_MS = 2_000;
 
@@ -123,7 +126,7 @@
             if (value instanceof JsonNode tree) {
                 body.set(field, tree);
             } else {
-                body.putPOJO(field, value);
+                body.set(field, VALUES.valueToTree(value));
             }
             return this;
         }
