Cold leaders answer sooner: keys compare without linking, busy machines wait for no launch

Cause, by class loads after a crash of all controllers: equality of five records that are keys is linked at its first call by spinning some 45 classes, 80 ms of processor time between the election and the first answers. By turns of the loop: every first answer was held for 0.6 s with a timer of its own though its machine had no room, the first scheduling cycle took 3.3 s between first heartbeats, each lost task cost a log line (2,300 in 190 s), each request a queued task.

Change: these records' equality is written out; only idle newcomers are held; the first cycle of a term is put off while the loop is late (CyclePacer, tested); one log line a job; requests served in the same call; no Undertow builder.

--- a/src/main/java/org/spoolline/cli/Main.java
+++ b/src/main/java/org/spoolline/cli/Main.java
@@ -118,7 +118,7 @@
     private static void listen(Loop loop, UndertowServer server, String address, Http.Handler handler, int tries) {
         try {
             server.listen(address, handler);
-        } catch (RuntimeException e) {
+        } catch (IOException | RuntimeException e) {
             Throwable cause = rootOf(e);
             if (tries > 1 && cause instanceof BindException) {
                 loop.after(Constants.BIND_RETRY_MS, () -> listen(loop, server, address, handler, tries - 1));
--- a/src/main/java/org/spoolline/fleet/RentalPlan.java
+++ b/src/main/java/org/spoolline/fleet/RentalPlan.java
@@ -13,6 +13,17 @@
 public final class RentalPlan {
     /** A kind of machine in a zone. */
     public record Offer(String type, String zone, boolean spot) {
+        /** Written out, see {@link org.spoolline.pipeline.Attempt#equals}. */
+        @Override
+        public boolean equals(Object other) {
+            return other instanceof Offer o && spot == o.spot && type.equals(o.type) && zone.equals(o.zone);
+        }
+
+        @Override
+        public int hashCode() {
+            return (type.hashCode() * 31 + zone.hashCode()) * 31 + Boolean.hashCode(spot);
+        }
+
     }
 
     private RentalPlan() {
--- a/src/main/java/org/spoolline/net/UndertowServer.java
+++ b/src/main/java/org/spoolline/net/UndertowServer.java
@@ -1,16 +1,21 @@
 package org.spoolline.net;
 
-import io.undertow.Undertow;
 import io.undertow.UndertowOptions;
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.server.HttpServerExchange;
+import io.undertow.server.protocol.http.HttpOpenListener;
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
+import io.undertow.util.SameThreadExecutor;
 import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.util.Arrays;
 import org.spoolline.settings.Constants;
+import org.xnio.ChannelListeners;
 import org.xnio.IoUtils;
+import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.XnioWorker;
 import org.xnio.channels.StreamSourceChannel;
@@ -31,20 +36,28 @@
     }
 
     /** Starts listening; throws when the address can't be bound. */
-    public void listen(String address, Http.Handler handler) {
+    public void listen(String address, Http.Handler handler) throws IOException {
+        OptionMap http = OptionMap.builder()
+                .set(UndertowOptions.ALWAYS_SET_DATE, false)
+                .set(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
+                .set(UndertowOptions.NO_REQUEST_TIMEOUT, Constants.IDLE_CONNECTION_MS)
+                .set(UndertowOptions.RECORD_REQUEST_START_TIME, false)
+                .getMap();
+        HttpOpenListener opener = new HttpOpenListener(buffers, http);
+        opener.setRootHandler(exchange -> receive(exchange, handler));
+        OptionMap sockets = OptionMap.builder()
+                .set(Options.TCP_NODELAY, true)
+                .set(Options.REUSE_ADDRESSES, true)
+                .set(Options.BACKLOG, backlog)
+                .getMap();
+        worker.createStreamConnectionServer(socketAddress(address), ChannelListeners.openListenerAdapter(opener), sockets)
+                .resumeAccepts();
+    }
+
+    private static InetSocketAddress socketAddress(String address) throws IOException {
         int colon = address.lastIndexOf(':');
-        Undertow server = Undertow.builder()
-                .setWorker(worker)
-                .setByteBufferPool(buffers)
-                .setSocketOption(Options.BACKLOG, backlog)
-                .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
-                .setServerOption(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
-                .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, Constants.IDLE_CONNECTION_MS)
-                .setServerOption(UndertowOptions.RECORD_REQUEST_START_TIME, false)
-                .addHttpListener(Integer.parseInt(address.substring(colon + 1)), address.substring(0, colon),
-                        exchange -> receive(exchange, handler))
-                .build();
-        server.start();
+        InetAddress host = InetAddress.getByName(address.substring(0, colon));
+        return new InetSocketAddress(host, Integer.parseInt(address.substring(colon + 1)));
     }
 
     private void receive(HttpServerExchange exchange, Http.Handler handler) {
@@ -102,7 +115,9 @@
         }
         Http.Request request = new Http.Request(exchange.getRequestMethod().toString(), exchange.getRequestPath(),
                 exchange.getQueryString(), body);
-        exchange.dispatch(exchange.getIoThread(), () -> {
+        // In the same call: through the loop's queue each request would be one more task, and the loop looks at the network
+        // and its timers only when no task is left.
+        exchange.dispatch(SameThreadExecutor.INSTANCE, () -> {
             boolean fine = guard.run(request.method() + " " + request.path(),
                     () -> handler.handle(request, response -> send(exchange, response)));
             if (!fine && !exchange.isResponseStarted()) {
--- a/src/main/java/org/spoolline/pipeline/AttemptsCodec.java
+++ b/src/main/java/org/spoolline/pipeline/AttemptsCodec.java
@@ -38,6 +38,17 @@
             return prefix.equals(other.prefix) && digits == other.digits;
         }
 
+        /** Written out, see {@link Attempt#equals}. */
+        @Override
+        public boolean equals(Object other) {
+            return other instanceof Name n && number == n.number && alike(n);
+        }
+
+        @Override
+        public int hashCode() {
+            return (prefix.hashCode() * 31 + digits) * 31 + number;
+        }
+
         static String text(String prefix, int digits, long number) {
             String figures = digits == 0 ? "" : Long.toString(number);
             return prefix + "0".repeat(Math.max(0, digits - figures.length())) + figures;
@@ -48,6 +59,17 @@
         static Place of(Attempt a) {
             return new Place(Name.of(a.machine()), a.machine(), a.session(), a.number());
         }
+
+        /** Written out, see {@link Attempt#equals}. */
+        @Override
+        public boolean equals(Object other) {
+            return other instanceof Place p && session == p.session && number == p.number && name.equals(p.name);
+        }
+
+        @Override
+        public int hashCode() {
+            return ((name.hashCode() * 31 + machine.hashCode()) * 31 + Long.hashCode(session)) * 31 + Long.hashCode(number);
+        }
     }
 
     private static final Comparator<Place> ORDER = Comparator.comparing((Place p) -> p.name().prefix())
--- a/src/main/java/org/spoolline/placement/Rounds.java
+++ b/src/main/java/org/spoolline/placement/Rounds.java
@@ -56,7 +56,7 @@
     private long term;
     private Evidence evidence;
     private boolean loaded;
-    private boolean scheduled;
+    private final CyclePacer pacer;
     private int lastBatch;
     private long lastRoundAt;
     private final Map<String, Map<Machine.Start, Double>> stops = new HashMap<>();
@@ -106,6 +106,7 @@
         this.machines = machines;
         this.jobs = jobs;
         writes = new Writes(loop, settings, state, leadership, jobs, new Stored());
+        pacer = new CyclePacer(loop, settings, this::round);
     }
 
     public void connect(Fleet toFleet, Outcomes toOutcomes) {
@@ -119,6 +120,7 @@
         // A former leader may have kept leases alive until its keep-alive time had run out.
         evidence = new Evidence(leadership.workerToken(), loop.now() + settings.keepAliveMs(), settings.silenceMs());
         loaded = false;
+        pacer.begin();
         freshness.begin();
         writes.begin(token);
         jobs.clear();
@@ -218,19 +220,11 @@
         loop.after(Constants.ROUND_IDLE_MS, () -> tick(mine));
     }
 
-    /** Something has changed: a round will run soon, the later the more the last one had to do. */
+    /** Something has changed: a cycle will run soon, the later the more the last one had to do. */
     public void poke() {
-        if (scheduled || term == 0) {
-            return;
+        if (term != 0) {
+            pacer.request(lastBatch);
         }
-        scheduled = true;
-        double load = Math.min(1.0, (double) lastBatch / Constants.ROUND_FULL_BATCH);
-        long narrowest = settings.operator().roundMinMs();
-        long width = narrowest + (long) (load * (settings.operator().roundMaxMs() - narrowest));
-        loop.after(width, () -> {
-            scheduled = false;
-            round();
-        });
     }
 
     /** A machine's report has brought news. */
@@ -411,6 +405,7 @@
             });
         }
         Pipeline next = null;
+        int gone = 0;
         for (Attempt attempt : due) {
             if (!now.holds(attempt)) {
                 continue;
@@ -430,7 +425,8 @@
                 case GONE -> {
                     next = next == null ? now.copy() : next;
                     next.lose(attempt);
-                    LOG.info("{}/{} attempt {} is gone with {}", now.uid(), attempt.task(), attempt.number(),
+                    gone++;
+                    LOG.debug("{}/{} attempt {} is gone with {}", now.uid(), attempt.task(), attempt.number(),
                             attempt.machine());
                 }
                 case ABSENT -> {
@@ -443,6 +439,10 @@
                 }
             }
         }
+        if (gone > 0) {
+            // One line a job: hundreds of tasks may be gone after a crash of all controllers, when time is short.
+            LOG.info("{}: {} attempts are gone with their machines", now.uid(), gone);
+        }
         Pipeline result = next == null ? now : next;
         if (spec.gang() && !result.finished() && !result.attempts().isEmpty()) {
             next = weighGang(now, result, next);
@@ -543,7 +543,7 @@
                 if (report.cause() == TaskReport.Cause.ALONE) {
                     keepPlace(next.spec(), machine);
                 }
-                LOG.info("{}/{} attempt {} ended on {}: {}{}", uid, attempt.task(), attempt.number(),
+                LOG.debug("{}/{} attempt {} ended on {}: {}{}", uid, attempt.task(), attempt.number(),
                         machine.name(), report.cause(), report.saved() ? ", saved" : "");
             }
         }
--- a/src/main/java/org/spoolline/settings/Constants.java
+++ b/src/main/java/org/spoolline/settings/Constants.java
@@ -35,6 +35,8 @@
     public static final int BIND_TRIES = 8;
     /** Ms that a node takes at most to learn who leads before it listens: longer than an election, shorter than a lease. */
     public static final long ORIENT_MS = 1_500;
+    /** Ms by which a scheduling cycle may begin late before the loop counts as overloaded. */
+    public static final long CYCLE_LATE_MS = 100;
     /** Ms between these tries. */
     public static final long BIND_RETRY_MS = 250;
 
--- a/src/main/java/org/spoolline/workers/CheckIns.java
+++ b/src/main/java/org/spoolline/workers/CheckIns.java
@@ -123,8 +123,8 @@
         lastHeardAt = loop.now();
         if (first) {
             machine.busyAt(loop.now());
-            LOG.info("machine {} {} in {} is up, session {}", machine.name(), machine.type(), machine.zone(),
-                    machine.session());
+            LOG.debug("first heartbeat of machine {} {} in {}, session {}", machine.name(), machine.type(),
+                    machine.zone(), machine.session());
         }
         // This answer brings it what the nudge would have it ask for.
         toNudge.remove(machine.name());
@@ -133,7 +133,7 @@
         if (older != null) {
             older.answer(false);
         }
-        if (!freshness.viewKnown() || (first || bringsEnds(machine)) && leadership.valid()) {
+        if (!freshness.viewKnown() || (idleNewcomer(machine, first) || bringsEnds(machine)) && leadership.valid()) {
             // Before the jobs are read, nobody here can tell whose lease may be renewed; and where room has come free, the
             // next task's launch is only a commit away, the next report seconds.
             waiting.put(machine.name(), held);
@@ -146,6 +146,11 @@
         }
     }
 
+    /** A machine that a new leader hears first while tasks run on it gains nothing by a held answer, and its lease ends. */
+    private static boolean idleNewcomer(Machine machine, boolean first) {
+        return first && machine.tasks().isEmpty();
+    }
+
     private boolean bringsEnds(Machine machine) {
         Map<Machine.Start, Attempt> stored = jobs.on(machine.name());
         return machine.tasks().entrySet().stream().anyMatch(t -> t.getValue().phase() == TaskReport.Phase.EXITED
@@ -297,7 +302,7 @@
 
     private static void stop(ArrayNode orders, Machine machine, Machine.Start start, double grace) {
         order(orders, "kill", start).put("windDownS", grace);
-        LOG.info("stop {}/{} attempt {} on {}, grace {} s", start.uid(), start.task(), start.attempt(), machine.name(),
+        LOG.debug("stop {}/{} attempt {} on {}, grace {} s", start.uid(), start.task(), start.attempt(), machine.name(),
                 grace);
     }
 
--- a/src/main/java/org/spoolline/workers/Machine.java
+++ b/src/main/java/org/spoolline/workers/Machine.java
@@ -22,6 +22,12 @@
             return new Start(report.uid(), report.task(), report.attempt());
         }
 
+        /** Written out, see {@link Attempt#equals}. */
+        @Override
+        public boolean equals(Object other) {
+            return other instanceof Start s && task == s.task && attempt == s.attempt && uid.equals(s.uid);
+        }
+
         /** Spreads neighbouring jobs and tasks: a record's own hash gives many of them the same one. */
         @Override
         public int hashCode() {
