--- a/src/main/java/org/spoolline/Controller.java
+++ b/src/main/java/org/spoolline/Controller.java
@@ -13,11 +13,11 @@
 import org.spoolline.net.Loop;
 import org.spoolline.peers.Peers;
 import org.spoolline.placement.JobTable;
-import org.spoolline.placement.Rounds;
+import org.spoolline.placement.SchedulingCycles;
 import org.spoolline.settings.Constants;
 import org.spoolline.settings.Settings;
 import org.spoolline.state.StateClient;
-import org.spoolline.workers.CheckIns;
+import org.spoolline.workers.Heartbeats;
 import org.spoolline.workers.MachineTable;
 
 /** One controller node: its slices, wired together. Clock, random source and network come from outside. */
@@ -28,8 +28,8 @@
     private final Catalog catalog;
     private final JobTable jobs = new JobTable();
     private final Intake intake;
-    private final CheckIns checkIns;
-    private final Rounds rounds;
+    private final Heartbeats heartbeats;
+    private final SchedulingCycles cycles;
     private final Fleet fleet;
     private final Peers peers;
     private Runnable oriented = () -> { };
@@ -42,20 +42,20 @@
         intake = new Intake(loop, settings, state, catalog, this::cancelled);
         Freshness freshness = new Freshness(loop, settings, leadership);
         MachineTable machines = new MachineTable();
-        rounds = new Rounds(loop, settings, state, leadership, freshness, catalog, machines, jobs);
-        fleet = new Fleet(loop, http, settings, leadership, catalog, machines, rounds::poke);
-        checkIns = new CheckIns(loop, http, settings, leadership, freshness, machines, jobs, rounds,
-                rounds::heard);
-        rounds.connect(fleet, new Rounds.Outcomes() {
+        cycles = new SchedulingCycles(loop, settings, state, leadership, freshness, catalog, machines, jobs);
+        fleet = new Fleet(loop, http, settings, leadership, catalog, machines, cycles::requestCycle);
+        heartbeats = new Heartbeats(loop, http, settings, leadership, freshness, machines, jobs, cycles,
+                cycles::heard);
+        cycles.connect(fleet, new SchedulingCycles.CycleListener() {
             @Override
             public void loaded() {
-                checkIns.ready(true);
+                heartbeats.ready(true);
             }
 
             @Override
             public void written(boolean settled, Set<String> withNews) {
-                checkIns.flush(settled);
-                checkIns.nudge(withNews);
+                heartbeats.flush(settled);
+                heartbeats.nudge(withNews);
             }
         });
         peers = new Peers(loop, http, settings, state, leadership, new Peers.Local() {
@@ -66,7 +66,7 @@
 
             @Override
             public boolean hearsWorkers() {
-                return checkIns.hearsWorkers();
+                return heartbeats.hearsWorkers();
             }
 
             @Override
@@ -100,7 +100,7 @@
         leadership.tend();
         String path = request.path();
         if (path.equals("/checkin")) {
-            checkIns.handle(request, answer);
+            heartbeats.handle(request, answer);
         } else if (Intake.serves(path)) {
             if (state.reachable() || !peers.forward(request, answer)) {
                 intake.handle(request, answer);
@@ -124,7 +124,7 @@
 
     private void probe() {
         state.probe();
-        if (leadership.valid() && checkIns.deaf() && peers.anyHearsWorkers()) {
+        if (leadership.valid() && heartbeats.deaf() && peers.anyHearsWorkers()) {
             leadership.resign("no worker comes here, but they do to a peer");
         }
         loop.after(Constants.STATE_PROBE_MS, this::probe);
@@ -132,9 +132,9 @@
 
     @Override
     public void elected(long token, long keyVersion) {
-        checkIns.ready(false);
+        heartbeats.ready(false);
         fleet.elected(token);
-        rounds.elected(token);
+        cycles.elected(token);
         oriented.run();
     }
 
@@ -145,8 +145,8 @@
 
     @Override
     public void deposed(String why) {
-        checkIns.ready(false);
-        rounds.deposed();
+        heartbeats.ready(false);
+        cycles.deposed();
         fleet.deposed();
     }
 }
--- a/src/main/java/org/spoolline/cli/Rehearsal.java
+++ b/src/main/java/org/spoolline/cli/Rehearsal.java
@@ -35,7 +35,7 @@
              "scatter":false,"standby":true,"expectS":1.0,"bookmarkS":0.0,"stashS":0.0,"dueS":null}""";
 
     private final CountDownLatch over = new CountDownLatch(1);
-    private int checkIns;
+    private int heartbeats;
     private XnioLoop loop;
     private UndertowCaller caller;
     private String node;
@@ -124,13 +124,13 @@
     }
 
     private void checkIn() {
-        if (++checkIns > Constants.REHEARSED_CHECK_INS) {
+        if (++heartbeats > Constants.REHEARSED_CHECK_INS) {
             over.countDown();
             return;
         }
         ObjectNode report = Json.object().put("spooler", "m-000001").put("addr", "127.0.0.1:9").put("build", "b")
-                .put("yard", "a").put("standby", true).put("shift", 1).put("tick", checkIns).put("baton", 1);
-        if (checkIns > Constants.REHEARSED_CHECK_INS / 2) {
+                .put("yard", "a").put("standby", true).put("shift", 1).put("tick", heartbeats).put("baton", 1);
+        if (heartbeats > Constants.REHEARSED_CHECK_INS / 2) {
             report.putArray("slips").addObject().put("slip", "run-000001/0").put("try", 1).put("status", "exited")
                     .put("cause", "done");
         }
--- a/src/main/java/org/spoolline/codec/TreeCodec.java
+++ b/src/main/java/org/spoolline/codec/TreeCodec.java
@@ -11,7 +11,6 @@
 import com.fasterxml.jackson.databind.node.MissingNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
-import java.util.Iterator;
 import java.util.Map;
 
 /**
@@ -113,9 +112,7 @@
 
     private static void writeObject(JsonNode object, JsonGenerator out) throws IOException {
         out.writeStartObject(object, object.size());
-        Iterator<Map.Entry<String, JsonNode>> fields = object.fields();
-        while (fields.hasNext()) {
-            Map.Entry<String, JsonNode> field = fields.next();
+        for (Map.Entry<String, JsonNode> field : object.properties()) {
             out.writeFieldName(field.getKey());
             writeValue(field.getValue(), out);
         }
--- a/src/main/java/org/spoolline/fleet/Fleet.java
+++ b/src/main/java/org/spoolline/fleet/Fleet.java
@@ -293,7 +293,7 @@
                     if (reply.ok()) {
                         some.forEach(Machine::markGone);
                     } else {
-                        // An outage of the cloud is not shortened by asking in every round.
+                        // An outage of the cloud is not shortened by asking in every cycle.
                         loop.after(Constants.RETRY_MS * 2, () -> {
                             if (term == mine) {
                                 some.forEach(m -> returning.remove(m.name()));
--- a/src/main/java/org/spoolline/intake/Intake.java
+++ b/src/main/java/org/spoolline/intake/Intake.java
@@ -18,7 +18,7 @@
 import org.spoolline.pipeline.Pipeline;
 import org.spoolline.pipeline.Submission;
 import org.spoolline.pipeline.SubmissionCodec;
-import org.spoolline.placement.Rounds;
+import org.spoolline.placement.SchedulingCycles;
 import org.spoolline.settings.Constants;
 import org.spoolline.settings.Settings;
 import org.spoolline.state.StateClient;
@@ -151,8 +151,8 @@
             busy(answer);
             return;
         }
-        StateClient.Txn txn = new StateClient.Txn().require(Rounds.JOBS + job.uid(), 0)
-                .require(Rounds.FINALS + job.uid(), 0).put(Rounds.JOBS + job.uid(), value);
+        StateClient.Txn txn = new StateClient.Txn().require(SchedulingCycles.JOBS + job.uid(), 0)
+                .require(SchedulingCycles.FINALS + job.uid(), 0).put(SchedulingCycles.JOBS + job.uid(), value);
         state.commit(txn, outcome -> {
             switch (outcome.fate()) {
                 case APPLIED -> {
@@ -247,13 +247,13 @@
             return;
         }
         StateClient.Txn txn = new StateClient.Txn();
-        batch.forEach(p -> txn.require(Rounds.JOBS + p.uid(), p.known().version()));
+        batch.forEach(p -> txn.require(SchedulingCycles.JOBS + p.uid(), p.known().version()));
         state.commit(txn, outcome -> {
             Set<String> changed = Set.copyOf(outcome.failed());
             for (Poll poll : batch) {
                 if (outcome.fate() != StateClient.Fate.APPLIED && outcome.fate() != StateClient.Fate.CONFLICT) {
                     unavailable(poll.answer());
-                } else if (changed.contains(Rounds.JOBS + poll.uid())) {
+                } else if (changed.contains(SchedulingCycles.JOBS + poll.uid())) {
                     live.remove(poll.uid());
                     read(poll.uid(), poll.answer());
                 } else {
@@ -283,8 +283,8 @@
                 busy(answer);
                 return;
             }
-            StateClient.Txn txn = new StateClient.Txn().require(Rounds.JOBS + uid, stored.version())
-                    .put(Rounds.JOBS + uid, pipeline.encode());
+            StateClient.Txn txn = new StateClient.Txn().require(SchedulingCycles.JOBS + uid, stored.version())
+                    .put(SchedulingCycles.JOBS + uid, pipeline.encode());
             state.commit(txn, outcome -> {
                 if (outcome.fate() == StateClient.Fate.APPLIED) {
                     LOG.info("cancelled {}", uid);
@@ -309,14 +309,14 @@
             busy(answer);
             return;
         }
-        state.get(Rounds.JOBS + uid, live -> {
+        state.get(SchedulingCycles.JOBS + uid, live -> {
             if (!live.reached()) {
                 unavailable(answer);
             } else if (live.item().exists()) {
                 found.accept(new Stored(live.item().value(), live.item().version(), null));
             } else {
                 state.force(0);
-                state.get(Rounds.FINALS + uid, last -> {
+                state.get(SchedulingCycles.FINALS + uid, last -> {
                     if (!last.reached()) {
                         unavailable(answer);
                     } else if (last.item().exists()) {
--- a/src/main/java/org/spoolline/net/Guard.java
+++ b/src/main/java/org/spoolline/net/Guard.java
@@ -8,7 +8,7 @@
 /**
  * Runs what the loop's thread is given to do. A task that fails is logged and the loop goes on; an error that is no
  * exception, such as memory that is full or a class that can't be loaded, ends the process, so that the platform starts
- * it anew. A node left half alive once answered check-ins while its rounds came to nothing.
+ * it anew. A node left half alive once answered check-ins while its cycles came to nothing.
  */
 public final class Guard {
     private static final Logger LOG = LoggerFactory.getLogger(Guard.class);
--- a/src/main/java/org/spoolline/pipeline/Pipeline.java
+++ b/src/main/java/org/spoolline/pipeline/Pipeline.java
@@ -20,7 +20,7 @@
  * The activity is the job itself; an array's tasks are a fork too wide for a frame each, so its join is kept as a low
  * mark plus a bitmap of a bounded window (all tasks below the mark are done), which fits any width into one value.
  *
- * <p>Mutable while a round of decisions works on its own {@link #copy}; the confirmed one is never changed.
+ * <p>Mutable while a cycle of decisions works on its own {@link #copy}; the confirmed one is never changed.
  */
 public final class Pipeline {
     private static final String ACTIVITY = "tasks";
--- a/src/main/java/org/spoolline/pipeline/StackCodec.java
+++ b/src/main/java/org/spoolline/pipeline/StackCodec.java
@@ -43,13 +43,13 @@
             branches.add(new Cekk.Branch(flow(b.get(0)), stack(b.get(1)), stack(b.get(2))));
         }
         Map<String, Cekk.Status> statuses = new LinkedHashMap<>();
-        node.path("e").fields().forEachRemaining(e -> statuses.put(e.getKey(), switch (e.getValue().asText()) {
+        node.path("e").properties().forEach(e -> statuses.put(e.getKey(), switch (e.getValue().asText()) {
             case "S" -> Cekk.Status.SUCCEEDED;
             case "F" -> Cekk.Status.FAILED;
             default -> Cekk.Status.CANCELLED;
         }));
         Map<String, Integer> joined = new LinkedHashMap<>();
-        node.path("j").fields().forEachRemaining(e -> joined.put(e.getKey(), e.getValue().asInt()));
+        node.path("j").properties().forEach(e -> joined.put(e.getKey(), e.getValue().asInt()));
         return new Cekk.State(branches, statuses, joined, node.path("f").asBoolean());
     }
 
--- a/src/main/java/org/spoolline/placement/Picture.java
+++ b/src/main/java/org/spoolline/placement/ClusterSnapshot.java
@@ -14,15 +14,15 @@
 /**
  * Everything a plan is made from.
  *
- * @param jobs        live pipelines as they will stand after this round's evidence
+ * @param jobs        live pipelines as they will stand after this cycle's evidence
  * @param holding     attempts that occupy room, by job; for a job whose write is in flight, old and new ones
- * @param placeable   ids of jobs that may be changed in this round
+ * @param placeable   ids of jobs that may be changed in this cycle
  * @param reserved   machines that are being cleared, with the job they are cleared for
  * @param warm        ids of gangs for which machines with their image have been cleared, once each
  * @param usable      machines that take work now
  * @param mayVacate   true when machines emptied in favour of others have had the time to be
  */
-public record Picture(List<Pipeline> jobs, Map<String, List<Attempt>> holding, Set<String> placeable,
+public record ClusterSnapshot(List<Pipeline> jobs, Map<String, List<Attempt>> holding, Set<String> placeable,
                       Map<String, Machine> machines, List<Machine> usable,
                       Map<String, String> reserved, Set<String> warm, Map<String, MachineType> types, Settings settings,
                       boolean mayVacate, long timeOfDay, long now) {
--- a/src/main/java/org/spoolline/placement/Consolidation.java
+++ b/src/main/java/org/spoolline/placement/Consolidation.java
@@ -23,28 +23,28 @@
     private record Moving(Pipeline job, Attempt attempt) {
     }
 
-    private final Picture picture;
+    private final ClusterSnapshot snapshot;
     private final List<Node> nodes;
     private final Map<String, List<Moving>> on = new HashMap<>();
 
-    private Consolidation(Picture picture, List<Node> nodes) {
-        this.picture = picture;
+    private Consolidation(ClusterSnapshot snapshot, List<Node> nodes) {
+        this.snapshot = snapshot;
         this.nodes = nodes;
     }
 
     /** Names of the machines to empty; {@code nodes} have the room that is left beside all work. */
-    static Set<String> vacated(Picture picture, List<Node> nodes) {
-        return new Consolidation(picture, nodes).vacated();
+    static Set<String> vacated(ClusterSnapshot snapshot, List<Node> nodes) {
+        return new Consolidation(snapshot, nodes).vacated();
     }
 
     private Set<String> vacated() {
         double spare = nodes.stream().mapToDouble(Node::cores).sum()
-                - Picture.askedCores(picture.jobs(), picture.timeOfDay());
+                - ClusterSnapshot.askedCores(snapshot.jobs(), snapshot.timeOfDay());
         if (spare <= 0) {
             return Set.of();
         }
-        for (Pipeline job : picture.jobs()) {
-            for (Attempt a : picture.held(job)) {
+        for (Pipeline job : snapshot.jobs()) {
+            for (Attempt a : snapshot.held(job)) {
                 on.computeIfAbsent(a.machine(), m -> new ArrayList<>()).add(new Moving(job, a));
             }
         }
@@ -85,8 +85,8 @@
 
     private boolean movable(Moving moving) {
         Submission spec = moving.job().spec();
-        Machine machine = picture.machines().get(moving.attempt().machine());
-        double ranS = machine.ranMs(Machine.Start.of(moving.job().uid(), moving.attempt()), picture.now()) / 1000.0;
+        Machine machine = snapshot.machines().get(moving.attempt().machine());
+        double ranS = machine.ranMs(Machine.Start.of(moving.job().uid(), moving.attempt()), snapshot.now()) / 1000.0;
         return !spec.gang() && spec.saves() && !moving.job().cancelled() && ranS >= Constants.VACATE_RAN_S
                 && spec.estimateS() - ranS >= Constants.VACATE_LEFT_S;
     }
--- a/src/main/java/org/spoolline/placement/CyclePacer.java
+++ b/src/main/java/org/spoolline/placement/CyclePacer.java
@@ -34,9 +34,9 @@
             return;
         }
         scheduled = true;
-        double load = Math.min(1.0, (double) lastBatch / Constants.ROUND_FULL_BATCH);
-        long narrowest = settings.operator().roundMinMs();
-        long width = narrowest + (long) (load * (settings.operator().roundMaxMs() - narrowest));
+        double load = Math.min(1.0, (double) lastBatch / Constants.CYCLE_FULL_BATCH);
+        long narrowest = settings.operator().cycleMinMs();
+        long width = narrowest + (long) (load * (settings.operator().cycleMaxMs() - narrowest));
         schedule(width);
     }
 
--- a/src/main/java/org/spoolline/placement/Placer.java
+++ b/src/main/java/org/spoolline/placement/Placer.java
@@ -17,7 +17,7 @@
 import org.spoolline.settings.Settings;
 import org.spoolline.workers.Machine;
 
-/** Decides what runs where: guarantees first, then priority, then release order. Pure: (picture, now) to plan. */
+/** Decides what runs where: guarantees first, then priority, then release order. Pure: (snapshot, now) to plan. */
 public final class Placer {
     private static final String UNKNOWN_ZONE = "?";
 
@@ -44,7 +44,7 @@
                        Set<String> gathering, Set<String> vacated) {
     }
 
-    private final Picture picture;
+    private final ClusterSnapshot snapshot;
     private final List<Node> nodes = new ArrayList<>();
     private final Map<String, double[]> teamUse = new HashMap<>();
     private final Map<String, List<Placement>> placements = new LinkedHashMap<>();
@@ -55,27 +55,27 @@
     private final Set<String> closed = new HashSet<>();
     private final Set<String> gathering = new LinkedHashSet<>();
 
-    private Placer(Picture picture) {
-        this.picture = picture;
+    private Placer(ClusterSnapshot snapshot) {
+        this.snapshot = snapshot;
     }
 
-    public static Plan plan(Picture picture) {
-        return new Placer(picture).plan();
+    public static Plan plan(ClusterSnapshot snapshot) {
+        return new Placer(snapshot).plan();
     }
 
     private Plan plan() {
         Map<String, Node> byName = new HashMap<>();
-        for (Machine m : picture.usable()) {
-            MachineType type = picture.types().get(m.type());
+        for (Machine m : snapshot.usable()) {
+            MachineType type = snapshot.types().get(m.type());
             if (type != null) {
-                Node node = new Node(m, type, picture.reserved().get(m.name()));
+                Node node = new Node(m, type, snapshot.reserved().get(m.name()));
                 nodes.add(node);
                 byName.put(m.name(), node);
             }
         }
-        for (Pipeline job : picture.jobs()) {
+        for (Pipeline job : snapshot.jobs()) {
             double[] use = teamUse.computeIfAbsent(job.spec().team(), t -> new double[2]);
-            for (Attempt a : picture.held(job)) {
+            for (Attempt a : snapshot.held(job)) {
                 use[0] += job.spec().cores();
                 use[1] += job.spec().accelerators();
                 Node node = byName.get(a.machine());
@@ -84,24 +84,24 @@
                 }
             }
         }
-        List<Pipeline> byRelease = new ArrayList<>(picture.jobs());
+        List<Pipeline> byRelease = new ArrayList<>(snapshot.jobs());
         byRelease.sort(Comparator.comparingLong(Pipeline::acceptedAt).thenComparing(Pipeline::uid));
-        within = within(byRelease, picture.settings());
-        preemption = new Preemption(picture, nodes, within, teamUse);
+        within = within(byRelease, snapshot.settings());
+        preemption = new Preemption(snapshot, nodes, within, teamUse);
         for (Pipeline job : inOrder(byRelease, within)) {
             if (job.finished() || job.cancelled()) {
                 continue;
             }
             place(job);
         }
-        boolean surplus = wants.isEmpty() && placements.isEmpty() && picture.mayVacate();
+        boolean surplus = wants.isEmpty() && placements.isEmpty() && snapshot.mayVacate();
         return new Plan(placements, wants, preemption.clear(wants), gathering,
-                surplus ? Consolidation.vacated(picture, nodes) : Set.of());
+                surplus ? Consolidation.vacated(snapshot, nodes) : Set.of());
     }
 
     /** True for a job that has waited long and of which nothing has begun. */
     private boolean aged(Pipeline job) {
-        return !job.begun() && picture.timeOfDay() - job.acceptedAt() > Constants.AGED_MS;
+        return !job.begun() && snapshot.timeOfDay() - job.acceptedAt() > Constants.AGED_MS;
     }
 
     /**
@@ -142,11 +142,11 @@
         // An aged array begins with one task; with that it is in its usual place again.
         int allowed = Math.min(aged && !spec.gang() ? 1 : ready, closed.contains(spec.team()) ? 0 : headroom(spec));
         boolean gathers = aged && spec.gang()
-                && picture.timeOfDay() - job.acceptedAt() < Constants.GATHER_UNTIL_MS;
+                && snapshot.timeOfDay() - job.acceptedAt() < Constants.GATHER_UNTIL_MS;
         if (gathers && allowed < ready) {
             closed.add(spec.team());
         }
-        if (allowed <= 0 || job.notBefore() > picture.timeOfDay() || !picture.placeable().contains(job.uid())) {
+        if (allowed <= 0 || job.notBefore() > snapshot.timeOfDay() || !snapshot.placeable().contains(job.uid())) {
             return;
         }
         if (spec.gang() && allowed < ready) {
@@ -154,8 +154,8 @@
         }
         // Members that wait already would give up before one that fetches long is there; started over as a whole,
         // those at hand are launched last.
-        boolean mending = spec.gang() && !picture.held(job).isEmpty();
-        double mendS = picture.settings().workers().gangWaitMs() / 1000.0 * Constants.MEND_FETCH_SHARE;
+        boolean mending = spec.gang() && !snapshot.held(job).isEmpty();
+        double mendS = snapshot.settings().workers().gangWaitMs() / 1000.0 * Constants.MEND_FETCH_SHARE;
         List<Node> fitting = new ArrayList<>();
         for (Node node : nodes) {
             if (node.openTo(job) && node.fits(spec) && (!mending || node.fetchS(spec) <= mendS)) {
@@ -235,7 +235,7 @@
         if (fetchS < Constants.SHORT_FETCH_S) {
             return false;
         }
-        return picture.warm().contains(job.uid()) ? picture.reserved().containsValue(job.uid())
+        return snapshot.warm().contains(job.uid()) ? snapshot.reserved().containsValue(job.uid())
                 : preemption.warm(job, fetchS);
     }
 
@@ -246,7 +246,7 @@
             return fill(job, fitting, count, null);
         }
         Set<String> zones = new LinkedHashSet<>();
-        picture.held(job).forEach(a -> zones.add(zoneOf(a)));
+        snapshot.held(job).forEach(a -> zones.add(zoneOf(a)));
         if (zones.isEmpty()) {
             fitting.forEach(n -> zones.add(n.zone));
         } else if (zones.size() > 1) {
@@ -273,7 +273,7 @@
         Submission spec = job.spec();
         Map<String, Integer> inZone = new HashMap<>();
         if (spec.spread()) {
-            picture.held(job).forEach(a -> inZone.merge(zoneOf(a), 1, Integer::sum));
+            snapshot.held(job).forEach(a -> inZone.merge(zoneOf(a), 1, Integer::sum));
         }
         List<Node> chosen = new ArrayList<>();
         for (Node node : fitting) {
@@ -294,12 +294,12 @@
 
     /** The zone of an attempt; with its machine unknown, it matches no zone and counts against each. */
     private String zoneOf(Attempt attempt) {
-        Machine machine = picture.machines().get(attempt.machine());
+        Machine machine = snapshot.machines().get(attempt.machine());
         return machine == null ? UNKNOWN_ZONE : machine.zone();
     }
 
     private int headroom(Submission spec) {
-        Settings.Team team = picture.settings().teams().get(spec.team());
+        Settings.Team team = snapshot.settings().teams().get(spec.team());
         if (team == null) {
             return 0;
         }
--- a/src/main/java/org/spoolline/placement/Preemption.java
+++ b/src/main/java/org/spoolline/placement/Preemption.java
@@ -44,7 +44,7 @@
     private record Choice(Node node, List<Victim> victims, double cost) {
     }
 
-    private final Picture picture;
+    private final ClusterSnapshot snapshot;
     private final List<Node> nodes;
     private final Map<String, List<Victim>> victims = new HashMap<>();
     private final Map<String, Double> lossPerCore = new HashMap<>();
@@ -56,8 +56,8 @@
     private final Map<String, Double> borrowed = new HashMap<>();
     private final List<Placer.Clearing> clearings = new ArrayList<>();
 
-    Preemption(Picture picture, List<Node> nodes, Set<String> within, Map<String, double[]> teamUse) {
-        this.picture = picture;
+    Preemption(ClusterSnapshot snapshot, List<Node> nodes, Set<String> within, Map<String, double[]> teamUse) {
+        this.snapshot = snapshot;
         this.nodes = nodes;
         this.within = within;
         this.teamUse = teamUse;
@@ -80,13 +80,13 @@
 
     /** What is to be cleared: for urgent gangs with their image at hand, as found before, and for the wants. */
     List<Placer.Clearing> clear(List<Placer.Want> wants) {
-        picture.settings().teams().forEach((name, team) ->
+        snapshot.settings().teams().forEach((name, team) ->
                 borrowed.put(name, teamUse.getOrDefault(name, new double[2])[0] - team.cores()));
         for (Placer.Want want : wants) {
             Pipeline job = want.job();
             boolean urgentGang = urgentGang(job);
             if (!urgentGang && (job.spec().gang() || !want.withinGuarantee())
-                    || picture.reserved().containsValue(job.uid()) || urgentGang && !job.attempts().isEmpty()) {
+                    || snapshot.reserved().containsValue(job.uid()) || urgentGang && !job.attempts().isEmpty()) {
                 // A gang that lacks members only would clear as many machines as all its tasks need.
                 continue;
             }
@@ -123,16 +123,16 @@
             return;
         }
         collected = true;
-        for (Pipeline job : picture.jobs()) {
+        for (Pipeline job : snapshot.jobs()) {
             // A gang would lose all its members for the room of one.
             if (job.spec().gang() && job.spec().tasks() > 1 || job.cancelled()
                     || !forGangs && (!job.spec().saves() || within.contains(job.uid()))) {
                 continue;
             }
-            for (Attempt a : picture.held(job)) {
-                Machine machine = picture.machines().get(a.machine());
+            for (Attempt a : snapshot.held(job)) {
+                Machine machine = snapshot.machines().get(a.machine());
                 if (machine != null) {
-                    victims.computeIfAbsent(a.machine(), m -> new ArrayList<>()).add(Victim.of(job, a, machine, picture.now()));
+                    victims.computeIfAbsent(a.machine(), m -> new ArrayList<>()).add(Victim.of(job, a, machine, snapshot.now()));
                 }
             }
         }
--- a/src/main/java/org/spoolline/placement/Rounds.java
+++ b/src/main/java/org/spoolline/placement/SchedulingCycles.java
@@ -24,22 +24,22 @@
 import org.spoolline.settings.Constants;
 import org.spoolline.settings.Settings;
 import org.spoolline.state.StateClient;
-import org.spoolline.workers.CheckIns;
+import org.spoolline.workers.Heartbeats;
 import org.spoolline.workers.Evidence;
 import org.spoolline.workers.Machine;
 import org.spoolline.workers.MachineTable;
 import org.spoolline.workers.TaskReport;
 
 /**
- * The leader's rounds of decisions. Each takes all evidence that has come since the last one, steps the pipelines,
- * places what is ready and rewrites every changed value once. Rounds widen with the number of values they change.
+ * The leader's cycles of decisions. Each takes all evidence that has come since the last one, steps the pipelines,
+ * places what is ready and rewrites every changed value once. SchedulingCycles widen with the number of values they change.
  */
-public final class Rounds implements CheckIns.Wishes {
+public final class SchedulingCycles implements Heartbeats.DesiredState {
     /** Prefix of live pipelines. */
     public static final String JOBS = "job/";
     /** Prefix of lasting records of jobs that are over. */
     public static final String FINALS = "final/";
-    private static final Logger LOG = LoggerFactory.getLogger(Rounds.class);
+    private static final Logger LOG = LoggerFactory.getLogger(SchedulingCycles.class);
 
     private final Loop loop;
     private final Settings settings;
@@ -51,19 +51,19 @@
     private final JobTable jobs;
     private final Writes writes;
     private Fleet fleet;
-    private Outcomes outcomes;
+    private CycleListener cycleListener;
 
     private long term;
     private Evidence evidence;
     private boolean loaded;
     private final CyclePacer pacer;
     private int lastBatch;
-    private long lastRoundAt;
+    private long lastCycleAt;
     private final Map<String, Map<Machine.Start, Double>> stops = new HashMap<>();
     /** Gang tasks whose machine has the image, while others of the gang have to fetch it. */
     private final Map<String, Set<Machine.Start>> afterMates = new HashMap<>();
     private final Set<String> withNews = new HashSet<>();
-    /** Machines whose reports brought news since the last round. */
+    /** Machines whose reports brought news since the last cycle. */
     private final Set<Machine> heard = new LinkedHashSet<>();
     /** Attempts that news is about and that no write has settled since, by job. */
     private final Map<String, Set<Attempt>> unsettled = new HashMap<>();
@@ -86,8 +86,8 @@
         }
     }
 
-    /** Who is told what the rounds have brought about. */
-    public interface Outcomes {
+    /** Who is told what the cycles have brought about. */
+    public interface CycleListener {
         /** The live pipelines are known under the present token. */
         void loaded();
 
@@ -95,7 +95,7 @@
         void written(boolean settled, Set<String> withNews);
     }
 
-    public Rounds(Loop loop, Settings settings, StateClient state, Leadership leadership, Freshness freshness,
+    public SchedulingCycles(Loop loop, Settings settings, StateClient state, Leadership leadership, Freshness freshness,
                   Catalog catalog, MachineTable machines, JobTable jobs) {
         this.loop = loop;
         this.settings = settings;
@@ -106,15 +106,15 @@
         this.machines = machines;
         this.jobs = jobs;
         writes = new Writes(loop, settings, state, leadership, jobs, new Stored());
-        pacer = new CyclePacer(loop, settings, this::round);
+        pacer = new CyclePacer(loop, settings, this::runCycle);
     }
 
-    public void connect(Fleet toFleet, Outcomes toOutcomes) {
+    public void connect(Fleet toFleet, CycleListener toListener) {
         fleet = toFleet;
-        outcomes = toOutcomes;
+        cycleListener = toListener;
     }
 
-    /** Forgets the picture of any earlier term and reads the live pipelines, which the election has fenced. */
+    /** Forgets the snapshot of any earlier term and reads the live pipelines, which the election has fenced. */
     public void elected(long token) {
         term = token;
         // A former leader may have kept leases alive until its keep-alive time had run out.
@@ -164,10 +164,10 @@
             if (!loaded) {
                 loaded = true;
                 LOG.info("{} live pipelines read under token {}", listing.items().size(), mine);
-                outcomes.loaded();
+                cycleListener.loaded();
             }
             watch(mine, listing.revision());
-            poke();
+            requestCycle();
         });
     }
 
@@ -189,7 +189,7 @@
                 freshness.completeAsOf(sent);
             }
             if (!watched.changes().isEmpty()) {
-                poke();
+                requestCycle();
             }
             later(watched.reached() ? Constants.WATCH_PAUSE_MS : Constants.RETRY_MS, mine,
                     () -> watch(mine, watched.revision()));
@@ -209,19 +209,19 @@
         return key.substring(JOBS.length());
     }
 
-    /** Time alone is evidence: a round runs at least so often. */
+    /** Time alone is evidence: a cycle runs at least so often. */
     private void tick(long mine) {
         if (term != mine) {
             return;
         }
-        if (loop.now() - lastRoundAt >= Constants.ROUND_IDLE_MS) {
-            poke();
+        if (loop.now() - lastCycleAt >= Constants.CYCLE_IDLE_MS) {
+            requestCycle();
         }
-        loop.after(Constants.ROUND_IDLE_MS, () -> tick(mine));
+        loop.after(Constants.CYCLE_IDLE_MS, () -> tick(mine));
     }
 
     /** Something has changed: a cycle will run soon, the later the more the last one had to do. */
-    public void poke() {
+    public void requestCycle() {
         if (term != 0) {
             pacer.request(lastBatch);
         }
@@ -231,7 +231,7 @@
     public void heard(Machine machine) {
         if (term != 0) {
             heard.add(machine);
-            poke();
+            requestCycle();
         }
     }
 
@@ -267,11 +267,11 @@
         return report == null ? TaskReport.Phase.FETCHING : report.phase();
     }
 
-    private void round() {
+    private void runCycle() {
         if (!loaded || !leadership.valid()) {
             return;
         }
-        lastRoundAt = loop.now();
+        lastCycleAt = loop.now();
         lapseReservations();
         boolean sweep = loop.now() - sweptAt >= Constants.SWEEP_MS;
         if (sweep) {
@@ -286,9 +286,9 @@
                 working.put(uid, entry.proposed());
                 continue;
             }
-            Collection<Attempt> due = sweep || judgedWhole(entry) ? entry.confirmed().attempts()
+            Collection<Attempt> due = sweep || evaluatedWhole(entry) ? entry.confirmed().attempts()
                     : unsettled.getOrDefault(uid, Set.of());
-            Pipeline next = due.isEmpty() && !entry.confirmed().cancelled() ? null : weighed(entry, due);
+            Pipeline next = due.isEmpty() && !entry.confirmed().cancelled() ? null : tryToEvaluate(entry, due);
             working.put(uid, next == null ? entry.confirmed() : next);
             if (next == null) {
                 unsettled.remove(uid);
@@ -319,7 +319,7 @@
         Set<String> coming = machinesWithWorkComing();
         coming.addAll(plan.gathering());
         reservations.values().forEach(r -> coming.addAll(r.clearing().machines()));
-        fleet.pass(plan.wants(), Picture.askedCores(working.values(), loop.timeOfDay()), name -> jobs.anyOn(name) || coming.contains(name));
+        fleet.pass(plan.wants(), ClusterSnapshot.askedCores(working.values(), loop.timeOfDay()), name -> jobs.anyOn(name) || coming.contains(name));
         // Reports whose launches wait for the state budget are held on: the next regular one is seconds away.
         tell(writes.settled() && all);
     }
@@ -353,7 +353,7 @@
     }
 
     /** Gangs, and whatever is being stopped, depend on more than the reports about single attempts. */
-    private boolean judgedWhole(JobTable.Entry entry) {
+    private boolean evaluatedWhole(JobTable.Entry entry) {
         return entry.confirmed().spec().gang() || entry.cancelled() || stops.containsKey(entry.confirmed().uid());
     }
 
@@ -375,17 +375,17 @@
     /** What has ended is written and told even when no plan can be made. */
     private Placer.Plan planned(Map<String, Pipeline> working) {
         try {
-            return Placer.plan(picture(working));
+            return Placer.plan(snapshot(working));
         } catch (RuntimeException e) {
             LOG.error("no plan can be made", e);
             return new Placer.Plan(Map.of(), List.of(), List.of(), Set.of(), Set.of());
         }
     }
 
-    /** One job that can't be judged must not stop the rounds for all others. */
-    private Pipeline weighed(JobTable.Entry entry, Collection<Attempt> due) {
+    /** One job that can't be judged must not stop the cycles for all others. */
+    private Pipeline tryToEvaluate(JobTable.Entry entry, Collection<Attempt> due) {
         try {
-            return weigh(entry, due);
+            return evaluate(entry, due);
         } catch (RuntimeException e) {
             LOG.error("{} can't be judged", entry.confirmed().uid(), e);
             return null;
@@ -393,7 +393,7 @@
     }
 
     /** Steps one pipeline by what is proven about the attempts that are due; null when nothing changes. */
-    private Pipeline weigh(JobTable.Entry entry, Collection<Attempt> due) {
+    private Pipeline evaluate(JobTable.Entry entry, Collection<Attempt> due) {
         Pipeline now = entry.confirmed();
         Submission spec = now.spec();
         stops.remove(now.uid());
@@ -445,7 +445,7 @@
         }
         Pipeline result = next == null ? now : next;
         if (spec.gang() && !result.finished() && !result.attempts().isEmpty()) {
-            next = weighGang(now, result, next);
+            next = evaluateGang(now, result, next);
         }
         if (next == null && now.cancelled() && now.attempts().isEmpty()) {
             next = now.copy();
@@ -454,7 +454,7 @@
     }
 
     /** A gang that has lost a member ends as a whole, and starts again once every member is proven gone. */
-    private Pipeline weighGang(Pipeline now, Pipeline result, Pipeline next) {
+    private Pipeline evaluateGang(Pipeline now, Pipeline result, Pipeline next) {
         boolean started = result.attempts().stream().anyMatch(a -> switch (phase(Machine.Start.of(now.uid(), a), a)) {
             case FETCHING, GATHERING -> false;
             default -> true;
@@ -562,7 +562,7 @@
         reservations.put(spec.uid(), kept.with(machine.name(), until));
     }
 
-    private Picture picture(Map<String, Pipeline> working) {
+    private ClusterSnapshot snapshot(Map<String, Pipeline> working) {
         fullUntil.values().removeIf(until -> until <= loop.now());
         Map<String, List<Attempt>> holding = new HashMap<>();
         Set<String> placeable = new HashSet<>();
@@ -587,7 +587,7 @@
         }
         Map<String, String> reserved = new HashMap<>();
         reservations.forEach((uid, r) -> r.clearing().machines().forEach(m -> reserved.put(m, uid)));
-        return new Picture(all, holding, placeable, machines.byName(), usable, reserved, warm, catalog.types(), settings,
+        return new ClusterSnapshot(all, holding, placeable, machines.byName(), usable, reserved, warm, catalog.types(), settings,
                 loop.now() - vacatedAt >= Constants.VACATE_MS, loop.timeOfDay(), loop.now());
     }
 
@@ -628,7 +628,7 @@
             }
             useImage(p.machine(), spec);
         }
-        // The value has a limit; what does not fit waits for the next rounds, and completions always fit.
+        // The value has a limit; what does not fit waits for the next cycles, and completions always fit.
         int limit = (int) (settings.state().valueBytes() * Constants.VALUE_FILL);
         while (!added.isEmpty() && Json.bytes(next.encode()).length > limit) {
             int drop = spec.gang() ? added.size() : (added.size() + 1) / 2;
@@ -637,7 +637,7 @@
             }
         }
         if (added.size() < placed.size()) {
-            // The room planned for it would stand empty round after round while others wait for it.
+            // The room planned for it would stand empty cycle after cycle while others wait for it.
             fullUntil.put(uid, loop.now() + Constants.VALUE_FULL_MS);
         }
         if (spec.gang()) {
@@ -660,7 +660,7 @@
         return coming;
     }
 
-    /** What becomes of the changes that a round has decided. */
+    /** What becomes of the changes that a cycle has decided. */
     private final class Stored implements Writes.Listener {
         @Override
         public void sent(Writes.Change change) {
@@ -695,13 +695,13 @@
             if (applied) {
                 tell(false);
             }
-            poke();
+            requestCycle();
         }
     }
 
     private void tell(boolean settled) {
         Set<String> news = new LinkedHashSet<>(withNews);
         withNews.clear();
-        outcomes.written(settled, news);
+        cycleListener.written(settled, news);
     }
 }
--- a/src/main/java/org/spoolline/placement/Writes.java
+++ b/src/main/java/org/spoolline/placement/Writes.java
@@ -21,7 +21,7 @@
 import org.spoolline.state.StateClient;
 
 /**
- * Stores what the rounds decide: each changed value once, the most urgent first, in few transactions that hold only under
+ * Stores what the cycles decide: each changed value once, the most urgent first, in few transactions that hold only under
  * this leadership. A transaction without an answer is sent again unchanged until its fate is known.
  */
 final class Writes {
@@ -31,7 +31,7 @@
     /** Rank of a change that was refused before: last, so that it keeps nobody from being written. */
     private static final int ALONE = 5;
 
-    /** A value to be rewritten in this round. */
+    /** A value to be rewritten in this cycle. */
     record Change(JobTable.Entry entry, Pipeline next) {
         String uid() {
             return next.uid();
@@ -186,11 +186,11 @@
         for (Write write : batch) {
             Change change = write.change();
             String uid = change.uid();
-            txn.require(Rounds.JOBS + uid, change.entry().version());
+            txn.require(SchedulingCycles.JOBS + uid, change.entry().version());
             if (change.over()) {
-                txn.delete(Rounds.JOBS + uid).put(Rounds.FINALS + uid, write.value());
+                txn.delete(SchedulingCycles.JOBS + uid).put(SchedulingCycles.FINALS + uid, write.value());
             } else {
-                txn.put(Rounds.JOBS + uid, write.value());
+                txn.put(SchedulingCycles.JOBS + uid, write.value());
             }
             jobs.propose(change.entry(), change.next());
             listener.sent(change);
@@ -241,9 +241,9 @@
             return;
         }
         LOG.info("a transaction of {} jobs met newer values: {}", batch.size(), failed);
-        batch.stream().filter(c -> failed.contains(Rounds.JOBS + c.uid())).forEach(c -> alone.add(c.uid()));
+        batch.stream().filter(c -> failed.contains(SchedulingCycles.JOBS + c.uid())).forEach(c -> alone.add(c.uid()));
         for (Change change : batch) {
-            if (failed.contains(Rounds.JOBS + change.uid())) {
+            if (failed.contains(SchedulingCycles.JOBS + change.uid())) {
                 reread(change, mine);
             } else {
                 abandoned(change.entry());
@@ -259,7 +259,7 @@
     private void reread(Change change, long mine) {
         String uid = change.uid();
         state.force(0);
-        state.get(Rounds.JOBS + uid, read -> {
+        state.get(SchedulingCycles.JOBS + uid, read -> {
             if (term != mine) {
                 return;
             }
@@ -269,7 +269,7 @@
             }
             abandoned(change.entry());
             if (read.item().exists()) {
-                jobs.seen(new StateClient.Change(Rounds.JOBS + uid, read.item().value(), read.item().version()), uid);
+                jobs.seen(new StateClient.Change(SchedulingCycles.JOBS + uid, read.item().value(), read.item().version()), uid);
             } else {
                 jobs.drop(uid, change.entry().version());
             }
--- a/src/main/java/org/spoolline/settings/Constants.java
+++ b/src/main/java/org/spoolline/settings/Constants.java
@@ -82,13 +82,13 @@
     public static final double FOLLOWER_BUDGET_SHARE = 0.3;
     /** Seconds of refill that a budget may be in debt at most. */
     public static final double DEBT_S = 2;
-    /** Share of the requests a second that users' requests leave for a leader's rounds. */
+    /** Share of the requests a second that users' requests leave for a leader's cycles. */
     public static final double ROUNDS_RESERVE = 0.1;
-    /** Share of the changes a second that a leader's rounds leave for users' requests. */
+    /** Share of the changes a second that a leader's cycles leave for users' requests. */
     public static final double USERS_RESERVE = 0.1;
     /** Bytes of one transaction that we fill at most: the protocol allows 64 KiB. */
     public static final int TXN_BYTES = 56 * 1024;
-    /** Transactions in flight at once for the leader: keeps one slow answer from stopping the rounds. */
+    /** Transactions in flight at once for the leader: keeps one slow answer from stopping the cycles. */
     public static final int TXNS_IN_FLIGHT = 4;
     /** Ms a node may be without the state service before it calls itself unable to serve. */
     public static final long STATE_LOST_MS = 4_000;
@@ -97,14 +97,14 @@
     /** Ms a peer may take to answer. */
     public static final long PEER_TIMEOUT_MS = 1_500;
 
-    /** Ms of the shortest round of decisions. */
-    public static final long ROUND_MIN_MS = 40;
-    /** Ms of the widest round of decisions, reached under load. */
-    public static final long ROUND_MAX_MS = 400;
-    /** Changed jobs per round at which a round has widened to its maximum. */
-    public static final int ROUND_FULL_BATCH = 24;
-    /** Ms between rounds without any event: time alone (silence, idleness) is evidence too. */
-    public static final long ROUND_IDLE_MS = 1_000;
+    /** Ms of the shortest cycle of decisions. */
+    public static final long CYCLE_MIN_MS = 40;
+    /** Ms of the widest cycle of decisions, reached under load. */
+    public static final long CYCLE_MAX_MS = 400;
+    /** Changed jobs per cycle at which a cycle has widened to its maximum. */
+    public static final int CYCLE_FULL_BATCH = 24;
+    /** Ms between cycles without any event: time alone (silence, idleness) is evidence too. */
+    public static final long CYCLE_IDLE_MS = 1_000;
 
     /** Times per lease that a worker is sent to look for a new leader while we can't tell an outage from a cut. */
     public static final int LOOKS_PER_LEASE = 4;
@@ -112,7 +112,7 @@
     public static final int UNHEARD_ANSWERS = 2;
     /** Bits of a worker's token that count nudges: a million nudges of one worker under one leader. */
     public static final int NUDGE_BITS = 20;
-    /** Sockets of the settings for one nudge under way: a round may have orders for hundreds of machines. */
+    /** Sockets of the settings for one nudge under way: a cycle may have orders for hundreds of machines. */
     public static final int SOCKETS_PER_NUDGE = 20;
     /** Nudges under way in any case. */
     public static final int NUDGES_MIN = 8;
@@ -151,7 +151,7 @@
     public static final long ENDS_WAIT_MS = 1_000;
     /** Ms that a change may wait for the state budget before it goes first, whatever it is. */
     public static final long WRITE_PATIENCE_MS = 2_000;
-    /** Ms between two rounds that judge every attempt: time alone proves silence, and nothing else marks it. */
+    /** Ms between two cycles that judge every attempt: time alone proves silence, and nothing else marks it. */
     public static final long SWEEP_MS = 2_000;
     /** Odd factor that spreads hashes of neighbouring names over the whole range: 2^32 by the golden ratio. */
     public static final int HASH_SPREAD = 0x9E3779B1;
@@ -201,7 +201,7 @@
     public static final long ASKED_MS = 30_000;
     /** Ms between two times that machines are emptied in favour of others: their tasks have moved by then. */
     public static final long VACATE_MS = 10_000;
-    /** Machines tried at one time: bounds the work of a round. */
+    /** Machines tried at one time: bounds the work of a cycle. */
     public static final int VACATE_TRIES = 50;
     /** Share of a machine's cores in use up to which it may be emptied. */
     public static final double VACATE_SHARE = 0.5;
--- a/src/main/java/org/spoolline/settings/OperatorSettings.java
+++ b/src/main/java/org/spoolline/settings/OperatorSettings.java
@@ -6,7 +6,6 @@
 import java.nio.file.Files;
 import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
-import java.util.Iterator;
 import java.util.Map;
 
 /**
@@ -15,12 +14,12 @@
  *
  * @param idleMs      ms an idle ordinary machine is kept
  * @param idleSpotMs  ms an idle spot machine is kept
- * @param roundMinMs  ms of the shortest round of decisions
- * @param roundMaxMs  ms of the widest round of decisions
+ * @param cycleMinMs  ms of the shortest cycle of decisions
+ * @param cycleMaxMs  ms of the widest cycle of decisions
  */
-public record OperatorSettings(long idleMs, long idleSpotMs, long roundMinMs, long roundMaxMs) {
+public record OperatorSettings(long idleMs, long idleSpotMs, long cycleMinMs, long cycleMaxMs) {
     public static final OperatorSettings DEFAULTS = new OperatorSettings(Constants.IDLE_MS, Constants.IDLE_SPOT_MS,
-            Constants.ROUND_MIN_MS, Constants.ROUND_MAX_MS);
+            Constants.CYCLE_MIN_MS, Constants.CYCLE_MAX_MS);
 
     public static OperatorSettings read(Path file) throws SettingsException {
         try {
@@ -39,10 +38,8 @@
         } catch (IOException e) {
             throw new SettingsException("operator settings are not valid XML");
         }
-        long[] values = {DEFAULTS.idleMs, DEFAULTS.idleSpotMs, DEFAULTS.roundMinMs, DEFAULTS.roundMaxMs};
-        Iterator<Map.Entry<String, JsonNode>> fields = root.fields();
-        while (fields.hasNext()) {
-            Map.Entry<String, JsonNode> field = fields.next();
+        long[] values = {DEFAULTS.idleMs, DEFAULTS.idleSpotMs, DEFAULTS.cycleMinMs, DEFAULTS.cycleMaxMs};
+        for (Map.Entry<String, JsonNode> field : root.properties()) {
             int index = switch (field.getKey()) {
                 case "idle-ms" -> 0;
                 case "idle-spot-ms" -> 1;
--- a/src/main/java/org/spoolline/workers/CheckIns.java
+++ b/src/main/java/org/spoolline/workers/Heartbeats.java
@@ -25,11 +25,11 @@
  * Answers the workers' check-ins. Wanted: each machine holds just the attempts stored for it; the orders are the
  * difference to what it reports. Launches travel only here, so none is ever carried out late.
  */
-public final class CheckIns {
-    private static final Logger LOG = LoggerFactory.getLogger(CheckIns.class);
+public final class Heartbeats {
+    private static final Logger LOG = LoggerFactory.getLogger(Heartbeats.class);
 
-    /** What the rounds want of stored attempts. */
-    public interface Wishes {
+    /** What the cycles want of stored attempts. */
+    public interface DesiredState {
         /** The grace in seconds with which an attempt is to end; null for those that are to go on. */
         Double graceOf(Machine.Start start);
 
@@ -45,7 +45,7 @@
     private final Freshness freshness;
     private final MachineTable machines;
     private final JobTable jobs;
-    private final Wishes wishes;
+    private final DesiredState desiredState;
     private final Consumer<Machine> news;
     private final Map<String, Held> waiting = new LinkedHashMap<>();
     /** Machines to be nudged once others have answered: a nudge takes a socket, and sockets are few. */
@@ -54,8 +54,8 @@
     private boolean ready;
     private long lastHeardAt;
 
-    public CheckIns(Loop loop, Http.Caller http, Settings settings, Leadership leadership, Freshness freshness,
-                    MachineTable machines, JobTable jobs, Wishes wishes, Consumer<Machine> news) {
+    public Heartbeats(Loop loop, Http.Caller http, Settings settings, Leadership leadership, Freshness freshness,
+                    MachineTable machines, JobTable jobs, DesiredState desiredState, Consumer<Machine> news) {
         this.loop = loop;
         this.http = http;
         this.settings = settings;
@@ -64,7 +64,7 @@
         this.freshness = freshness;
         this.machines = machines;
         this.jobs = jobs;
-        this.wishes = wishes;
+        this.desiredState = desiredState;
         this.news = news;
     }
 
@@ -281,7 +281,7 @@
             Machine.Start start = e.getKey();
             if (orders.size() < Constants.MAX_ORDERS && e.getValue().session() == machine.session()
                     && !machine.tasks().containsKey(start) && grace(start, e.getValue()) == null
-                    && wishes.mayLaunch(start) && noOtherAttempt(machine, start)) {
+                    && desiredState.mayLaunch(start) && noOtherAttempt(machine, start)) {
                 order(orders, "launch", start);
                 machine.launched(start);
                 LOG.debug("launch {}/{} attempt {} on {}", start.uid(), start.task(), start.attempt(),
@@ -312,7 +312,7 @@
         if (entry == null || entry.cancelled() || !entry.holds(attempt)) {
             return 0.0;
         }
-        return wishes.graceOf(start);
+        return desiredState.graceOf(start);
     }
 
     private static boolean noOtherAttempt(Machine machine, Machine.Start wanted) {
--- a/src/test/java/org/spoolline/placement/CyclePacerTest.java
+++ b/src/test/java/org/spoolline/placement/CyclePacerTest.java
@@ -60,14 +60,14 @@
         pacer.request(0);
         pacer.request(0);
         loop.run();
-        assertEquals(List.of(1_000 + SETTINGS.operator().roundMinMs()), cycles);
+        assertEquals(List.of(1_000 + SETTINGS.operator().cycleMinMs()), cycles);
     }
 
     @Test
     void cyclesWidenWithWhatTheLastOneChanged() {
-        pacer.request(Constants.ROUND_FULL_BATCH);
+        pacer.request(Constants.CYCLE_FULL_BATCH);
         loop.run();
-        assertEquals(List.of(1_000 + SETTINGS.operator().roundMaxMs()), cycles);
+        assertEquals(List.of(1_000 + SETTINGS.operator().cycleMaxMs()), cycles);
     }
 
     @Test
@@ -87,7 +87,7 @@
         pacer.begin();
         pacer.request(0);
         loop.run();
-        assertEquals(List.of(1_000 + SETTINGS.operator().roundMinMs()), cycles);
+        assertEquals(List.of(1_000 + SETTINGS.operator().cycleMinMs()), cycles);
     }
 
     @Test
@@ -99,6 +99,6 @@
         long before = loop.now();
         pacer.request(0);
         loop.run();
-        assertEquals(before + SETTINGS.operator().roundMinMs() + loop.lateMs, cycles.get(1));
+        assertEquals(before + SETTINGS.operator().cycleMinMs() + loop.lateMs, cycles.get(1));
     }
 }
--- a/src/test/java/org/spoolline/placement/Fixture.java
+++ b/src/test/java/org/spoolline/placement/Fixture.java
@@ -55,7 +55,7 @@
 
     /** The plan a minute after the start of the day. */
     Placer.Plan plan(Set<String> placeable, boolean mayVacate) {
-        return Placer.plan(new Picture(jobs, Map.of(), placeable, machines, List.copyOf(machines.values()), Map.of(),
+        return Placer.plan(new ClusterSnapshot(jobs, Map.of(), placeable, machines, List.copyOf(machines.values()), Map.of(),
                 Set.of(), Map.of(type.name(), type), settings, mayVacate, World.START_OF_DAY + 60_000, NOW));
     }
 }
--- a/src/test/java/org/spoolline/settings/SettingsFileTest.java
+++ b/src/test/java/org/spoolline/settings/SettingsFileTest.java
@@ -113,7 +113,7 @@
     void operatorsOwnSettingsAreChecked() throws Exception {
         OperatorSettings own = OperatorSettings.parse("<operator><idle-ms>9000</idle-ms></operator>");
         assertEquals(9_000, own.idleMs());
-        assertEquals(OperatorSettings.DEFAULTS.roundMaxMs(), own.roundMaxMs());
+        assertEquals(OperatorSettings.DEFAULTS.cycleMaxMs(), own.cycleMaxMs());
         for (String[] bad : new String[][] {{"<operator><idle-ms>soon</idle-ms></operator>", "idle-ms"},
             {"<operator><lease>1</lease></operator>", "lease"}, {"<operator><idle-ms>", "XML"},
             {"<operator><round-min-ms>900</round-min-ms></operator>", "round-min-ms"}}) {
--- a/src/test/java/org/spoolline/world/MeetingsTest.java
+++ b/src/test/java/org/spoolline/world/ConcurrentFailuresTest.java
@@ -16,7 +16,7 @@
 import org.spoolline.net.Json;
 
 /** Two troubles at once: each story brings one meeting about, and asserts that it came about. See docs/meetings.md. */
-class MeetingsTest {
+class ConcurrentFailuresTest {
     private static final List<String> NODES = List.of("node-0", "node-1", "node-2");
 
     private static List<FakeWorker> up(World world) {
@@ -301,7 +301,7 @@
         }
     }
 
-    /** Elections, submissions, cancellations, rounds and ends alike are carried out late, after newer ones. */
+    /** Elections, submissions, cancellations, cycles and ends alike are carried out late, after newer ones. */
     @Test
     void transactionsAreCarriedOutLateAfterNewerOnes() {
         int[] late = new int[2];
--- a/src/test/java/org/spoolline/world/StoriesTest.java
+++ b/src/test/java/org/spoolline/world/ScenariosTest.java
@@ -17,7 +17,7 @@
 import org.spoolline.net.Json;
 
 /** Days of a small deployment, each with its trouble, under an independent check of the rules. */
-class StoriesTest {
+class ScenariosTest {
     /** Without this, a failure could not be looked into again. */
     @Test
     void theSameSeedReplaysTheSameDay() {
