--- a/src/main/java/org/spoolline/Controller.java
+++ b/src/main/java/org/spoolline/Controller.java
@@ -32,7 +32,7 @@
     private final SchedulingCycles cycles;
     private final Fleet fleet;
     private final Peers peers;
-    private Runnable oriented = () -> { };
+    private Runnable oriented = () -> {};
 
     public Controller(Settings settings, Loop loop, Http.Caller http, RandomGenerator random) {
         this.loop = loop;
@@ -44,8 +44,7 @@
         MachineTable machines = new MachineTable();
         cycles = new SchedulingCycles(loop, settings, state, leadership, freshness, catalog, machines, jobs);
         fleet = new Fleet(loop, http, settings, leadership, catalog, machines, cycles::requestCycle);
-        heartbeats = new Heartbeats(loop, http, settings, leadership, freshness, machines, jobs, cycles,
-                cycles::heard);
+        heartbeats = new Heartbeats(loop, http, settings, leadership, freshness, machines, jobs, cycles, cycles::heard);
         cycles.connect(fleet, new SchedulingCycles.CycleListener() {
             @Override
             public void loaded() {
--- a/src/main/java/org/spoolline/cli/Main.java
+++ b/src/main/java/org/spoolline/cli/Main.java
@@ -36,7 +36,10 @@
  * The command line. Exit codes: 0 fine, 1 the service could not start, 2 wrong use or unusable settings, 3 an error that
  * no exception handling mends.
  */
-@Command(name = "spoolline", mixinStandardHelpOptions = true, version = "spoolline 0.1.0",
+@Command(
+        name = "spoolline",
+        mixinStandardHelpOptions = true,
+        version = "spoolline 0.1.0",
         description = "Cluster scheduler: runs one controller node until it is killed.")
 public final class Main implements Callable<Integer> {
     @Option(names = "--config", paramLabel = "FILE", description = "Settings file (TOML).")
@@ -48,15 +51,16 @@
     @Option(names = "--check", description = "Check the settings and exit without serving.")
     private boolean check;
 
-    @Option(names = "--rehearse", hidden = true,
+    @Option(
+            names = "--rehearse",
+            hidden = true,
             description = "Serve canned requests on loopback and exit; the build records the classes it loads.")
     private boolean rehearse;
 
     public static void main(String[] args) {
         String level = System.getenv().getOrDefault("LOG_LEVEL", "info");
         switch (level) {
-            case "error", "info", "debug" -> {
-            }
+            case "error", "info", "debug" -> {}
             default -> {
                 System.err.println("spoolline: LOG_LEVEL must be error, info or debug, not " + level);
                 System.exit(2);
@@ -140,12 +144,14 @@
 
     /** One I/O thread, which is the loop; the single task thread idles. */
     static XnioWorker worker() throws IOException {
-        return new NioXnioProvider().getInstance().createWorker(OptionMap.builder()
-                .set(Options.WORKER_IO_THREADS, 1)
-                .set(Options.WORKER_TASK_CORE_THREADS, 1)
-                .set(Options.WORKER_TASK_MAX_THREADS, 1)
-                .set(Options.TCP_NODELAY, true)
-                .getMap());
+        return new NioXnioProvider()
+                .getInstance()
+                .createWorker(OptionMap.builder()
+                        .set(Options.WORKER_IO_THREADS, 1)
+                        .set(Options.WORKER_TASK_CORE_THREADS, 1)
+                        .set(Options.WORKER_TASK_MAX_THREADS, 1)
+                        .set(Options.TCP_NODELAY, true)
+                        .getMap());
     }
 
     static DefaultByteBufferPool buffers() {
@@ -178,13 +184,20 @@
         DefaultByteBufferPool buffers = buffers();
         Guard guard = guard();
         Loop loop = new XnioLoop(thread, guard);
-        Controller controller = new Controller(settings, loop,
-                new UndertowCaller(thread, buffers, settings.idleConnections(), guard), new SplittableRandom());
+        Controller controller = new Controller(
+                settings,
+                loop,
+                new UndertowCaller(thread, buffers, settings.idleConnections(), guard),
+                new SplittableRandom());
         UndertowServer server = new UndertowServer(worker, buffers, settings.backlog(), guard);
-        log.info("{} is to serve users and workers on {}, controllers on {}", settings.node(), settings.serveOn(),
+        log.info(
+                "{} is to serve users and workers on {}, controllers on {}",
+                settings.node(),
+                settings.serveOn(),
                 settings.internalAddress());
         settings.shortages().forEach(s -> log.error("too little to serve in full: {}", s));
-        // After a crash of all controllers a thousand workers come at once, to a process that is cold: they would keep it
+        // After a crash of all controllers a thousand workers come at once, to a process that is cold: they would keep
+        // it
         // from the election that it takes to serve any of them. Until it knows who leads it has no answer anyway.
         boolean[] open = new boolean[1];
         Runnable openToAll = () -> {
--- a/src/main/java/org/spoolline/cli/Rehearsal.java
+++ b/src/main/java/org/spoolline/cli/Rehearsal.java
@@ -29,7 +29,8 @@
  * classes a serving node loads, for the class data archive that shortens every start.
  */
 final class Rehearsal {
-    private static final String JOB = """
+    private static final String JOB =
+            """
             {"uid":"run-000001","lane":"a","desk":"t","shape":"batch","urgency":"standard","slips":2,"cores":1.0,
              "accelerators":0.0,"memGb":1.0,"plate":"i","imageGb":1.0,"builds":null,"yard":null,"samePlace":false,
              "scatter":false,"standby":true,"expectS":1.0,"bookmarkS":0.0,"stashS":0.0,"dueS":null}""";
@@ -45,7 +46,8 @@
         node = "127.0.0.1:" + freePort();
         String inner = "127.0.0.1:" + freePort();
         String outside = "127.0.0.1:" + freePort();
-        Settings settings = SettingsFile.read(settingsFile("""
+        Settings settings = SettingsFile.read(settingsFile(
+                """
                 node_name = "rehearsal"
                 domain = "a"
                 serve_on = "%s"
@@ -87,7 +89,8 @@
                 cpu_share = 1.0
                 ram_mb = 200.0
                 sockets = 100
-                """.formatted(node, inner, inner, outside, outside)));
+                """
+                        .formatted(node, inner, inner, outside, outside)));
         XnioWorker worker = Main.worker();
         XnioIoThread thread = worker.getIoThread();
         DefaultByteBufferPool buffers = Main.buffers();
@@ -120,7 +123,7 @@
     }
 
     private void ask(String method, String path, byte[] body) {
-        caller.call(node, method, path, body, Constants.STATE_TIMEOUT_MS, reply -> { });
+        caller.call(node, method, path, body, Constants.STATE_TIMEOUT_MS, reply -> {});
     }
 
     private void checkIn() {
@@ -128,35 +131,54 @@
             over.countDown();
             return;
         }
-        ObjectNode report = Json.object().put("spooler", "m-000001").put("addr", "127.0.0.1:9").put("build", "b")
-                .put("yard", "a").put("standby", true).put("shift", 1).put("tick", heartbeats).put("baton", 1);
+        ObjectNode report = Json.object()
+                .put("spooler", "m-000001")
+                .put("addr", "127.0.0.1:9")
+                .put("build", "b")
+                .put("yard", "a")
+                .put("standby", true)
+                .put("shift", 1)
+                .put("tick", heartbeats)
+                .put("baton", 1);
         if (heartbeats > Constants.REHEARSED_CHECK_INS / 2) {
-            report.putArray("slips").addObject().put("slip", "run-000001/0").put("try", 1).put("status", "exited")
+            report.putArray("slips")
+                    .addObject()
+                    .put("slip", "run-000001/0")
+                    .put("try", 1)
+                    .put("status", "exited")
                     .put("cause", "done");
         }
-        caller.call(node, "POST", "/checkin", Json.bytes(report), Constants.STATE_TIMEOUT_MS,
+        caller.call(
+                node,
+                "POST",
+                "/checkin",
+                Json.bytes(report),
+                Constants.STATE_TIMEOUT_MS,
                 reply -> loop.after(100, this::checkIn));
     }
 
     /** Canned answers of the state service and the cloud. */
     private void outside(Http.Request request, Consumer<Http.Response> answer) {
         String path = request.path();
-        String body = switch (path) {
-            case "/machine_types" -> "{\"builds\":[{\"name\":\"b\",\"cores\":4,\"accelerators\":0,\"memGb\":8,"
-                    + "\"cacheGb\":9,\"pullGbPerS\":1.0,\"rate\":1.0,\"spotPrice\":0.5,\"startupS\":1,"
-                    + "\"yards\":[\"a\"]}]}";
-            case "/rentals" -> request.method().equals("GET") ? "{\"spoolers\":[],\"hasNext\":false}"
-                    : "{\"spoolers\":[\"m-000001\"]}";
-            case "/leases" -> "{\"ticket\":7}";
-            case "/commit" -> "{\"ledger\":5}";
-            case "/keys" -> "{\"pairs\":[{\"key\":\"job/run-000001\",\"v\":{\"ver\":1,\"job\":" + JOB
-                    + ",\"at\":1,\"k\":{\"b\":[[[\"a\",\"tasks\"],[],[[\"c\",[\"o\",[\"a\",\"tasks\"]],[],[],true]]]]}"
-                    + ",\"low\":0,\"n\":0},\"stamp\":3}],\"hasNext\":false,\"ledger\":5}";
-            case "/follow" -> "{\"ledger\":6,\"log\":[]}";
-            default -> path.startsWith("/keys/") ? null : "{}";
-        };
+        String body =
+                switch (path) {
+                    case "/machine_types" -> "{\"builds\":[{\"name\":\"b\",\"cores\":4,\"accelerators\":0,\"memGb\":8,"
+                            + "\"cacheGb\":9,\"pullGbPerS\":1.0,\"rate\":1.0,\"spotPrice\":0.5,\"startupS\":1,"
+                            + "\"yards\":[\"a\"]}]}";
+                    case "/rentals" -> request.method().equals("GET")
+                            ? "{\"spoolers\":[],\"hasNext\":false}"
+                            : "{\"spoolers\":[\"m-000001\"]}";
+                    case "/leases" -> "{\"ticket\":7}";
+                    case "/commit" -> "{\"ledger\":5}";
+                    case "/keys" -> "{\"pairs\":[{\"key\":\"job/run-000001\",\"v\":{\"ver\":1,\"job\":" + JOB
+                            + ",\"at\":1,\"k\":{\"b\":[[[\"a\",\"tasks\"],[],[[\"c\",[\"o\",[\"a\",\"tasks\"]],[],[],true]]]]}"
+                            + ",\"low\":0,\"n\":0},\"stamp\":3}],\"hasNext\":false,\"ledger\":5}";
+                    case "/follow" -> "{\"ledger\":6,\"log\":[]}";
+                    default -> path.startsWith("/keys/") ? null : "{}";
+                };
         byte[] bytes = body == null ? new byte[0] : body.getBytes(StandardCharsets.UTF_8);
-        loop.after(path.equals("/follow") ? 500 : 0,
+        loop.after(
+                path.equals("/follow") ? 500 : 0,
                 () -> answer.accept(Http.Response.of(body == null ? 404 : 200, bytes)));
     }
 }
--- a/src/main/java/org/spoolline/fleet/Catalog.java
+++ b/src/main/java/org/spoolline/fleet/Catalog.java
@@ -83,7 +83,7 @@
     private void store(JsonNode answer) {
         StateClient.Txn txn = new StateClient.Txn().require(KEY, 0).put(KEY, answer);
         if (state.admit(1)) {
-            state.commit(txn, outcome -> { });
+            state.commit(txn, outcome -> {});
         }
     }
 }
--- a/src/main/java/org/spoolline/fleet/Fleet.java
+++ b/src/main/java/org/spoolline/fleet/Fleet.java
@@ -47,8 +47,14 @@
     private final Map<RentalPlan.Offer, Long> refusedUntil = new HashMap<>();
     private final Set<String> returning = new HashSet<>();
 
-    public Fleet(Loop loop, Http.Caller http, Settings settings, Leadership leadership, Catalog catalog,
-                 MachineTable machines, Runnable news) {
+    public Fleet(
+            Loop loop,
+            Http.Caller http,
+            Settings settings,
+            Leadership leadership,
+            Catalog catalog,
+            MachineTable machines,
+            Runnable news) {
         this.loop = loop;
         this.http = http;
         this.settings = settings;
@@ -83,14 +89,15 @@
      */
     public void pass(List<Placer.Want> wants, double askedCores, Predicate<String> holdsWork) {
         long now = loop.now();
-        if (now - listAskedAt >= Math.max(Constants.LIST_MIN_MS, settings.cloud().listLagMs() / 2)
+        if (now - listAskedAt
+                        >= Math.max(Constants.LIST_MIN_MS, settings.cloud().listLagMs() / 2)
                 && budget.take(1, now)) {
             listAskedAt = now;
             list("", new HashSet<>(), now, term);
         }
         if (now - typesAskedAt >= Constants.TYPES_MS && budget.take(1, now)) {
             typesAskedAt = now;
-            catalog.refresh(fine -> { });
+            catalog.refresh(fine -> {});
         }
         if (!listedOnce || !catalog.known()) {
             return;
@@ -100,8 +107,13 @@
     }
 
     private void list(String after, Set<String> seen, long askedAt, long mine) {
-        http.call(settings.cloudAddress(), "GET", "/rentals?after=" + after + "&most=" + Constants.LIST_PAGE, null,
-                Constants.CLOUD_TIMEOUT_MS, reply -> {
+        http.call(
+                settings.cloudAddress(),
+                "GET",
+                "/rentals?after=" + after + "&most=" + Constants.LIST_PAGE,
+                null,
+                Constants.CLOUD_TIMEOUT_MS,
+                reply -> {
                     if (!reply.ok() || term != mine || !leadership.valid()) {
                         return;
                     }
@@ -127,11 +139,19 @@
         long now = loop.now();
         String name = m.path("uid").asText();
         boolean fresh = machines.get(name) == null;
-        Machine machine = machines.meet(name, m.path("build").asText(), m.path("yard").asText(),
-                m.path("standby").asBoolean(), now - (long) (m.path("heldS").asDouble() * 1000));
+        Machine machine = machines.meet(
+                name,
+                m.path("build").asText(),
+                m.path("yard").asText(),
+                m.path("standby").asBoolean(),
+                now - (long) (m.path("heldS").asDouble() * 1000));
         machine.listed(now);
         if (fresh) {
-            LOG.info("machine {} {} in {} found in the list as {}", name, machine.type(), machine.zone(),
+            LOG.info(
+                    "machine {} {} in {} found in the list as {}",
+                    name,
+                    machine.type(),
+                    machine.zone(),
                     m.path("status").asText());
         }
         if ("failed".equals(m.path("status").asText()) && !machine.gone()) {
@@ -148,7 +168,9 @@
      */
     private void missing(Set<String> seen, long askedAt) {
         for (Machine m : machines.all()) {
-            if (!m.gone() && m.listedAt() >= 0 && !seen.contains(m.name())
+            if (!m.gone()
+                    && m.listedAt() >= 0
+                    && !seen.contains(m.name())
                     && askedAt - m.listedAt() > 2 * settings.cloud().listLagMs() + Constants.MARGIN_MS) {
                 LOG.info("machine {} is gone from the list", m.name());
                 m.markGone();
@@ -168,7 +190,10 @@
                 coming.add(offer);
             }
         });
-        Map<RentalPlan.Offer, Integer> plan = RentalPlan.plan(wants, coming, catalog.types(),
+        Map<RentalPlan.Offer, Integer> plan = RentalPlan.plan(
+                wants,
+                coming,
+                catalog.types(),
                 offer -> !asked.containsKey(offer) && refusedUntil.getOrDefault(offer, Long.MIN_VALUE) <= now);
         plan.forEach((offer, count) -> {
             if (budget.take(1, now)) {
@@ -180,8 +205,12 @@
     }
 
     private void request(RentalPlan.Offer offer, int count, String name, long mine) {
-        ObjectNode body = Json.object().put("hire", name).put("build", offer.type()).put("yard", offer.zone())
-                .put("standby", offer.spot()).put("count", count);
+        ObjectNode body = Json.object()
+                .put("hire", name)
+                .put("build", offer.type())
+                .put("yard", offer.zone())
+                .put("standby", offer.spot())
+                .put("count", count);
         http.call(settings.cloudAddress(), "POST", "/rentals", Json.bytes(body), Constants.CLOUD_TIMEOUT_MS, reply -> {
             // The answer counts even while leadership has lapsed for a moment: an offer that stays noted as asked for
             // would never be rented again in this term.
@@ -197,14 +226,24 @@
             JsonNode names = Json.read(reply.body()).path("spoolers");
             names.forEach(n -> machines.meet(n.asText(), offer.type(), offer.zone(), offer.spot(), now));
             asked.remove(offer);
-            LOG.info("rented {} of {} {} in {}{} as {}", names.size(), count, offer.type(), offer.zone(),
-                    offer.spot() ? " (spot)" : "", name);
+            LOG.info(
+                    "rented {} of {} {} in {}{} as {}",
+                    names.size(),
+                    count,
+                    offer.type(),
+                    offer.zone(),
+                    offer.spot() ? " (spot)" : "",
+                    name);
             if (names.size() < count) {
                 refusedUntil.put(offer, now + Constants.REFUSED_MS);
             }
             news.run();
         } else if (reply.status() == 503 || reply.status() == 400) {
-            LOG.info("no {} in {}{} to rent: {}", offer.type(), offer.zone(), offer.spot() ? " (spot)" : "",
+            LOG.info(
+                    "no {} in {}{} to rent: {}",
+                    offer.type(),
+                    offer.zone(),
+                    offer.spot() ? " (spot)" : "",
                     reply.status());
             asked.remove(offer);
             refusedUntil.put(offer, now + Constants.REFUSED_MS);
@@ -237,12 +276,13 @@
                 continue;
             }
             MachineType type = catalog.types().get(m.type());
-            long patience = type == null ? Constants.MIN_CHARGE_MS
-                    : (long) (type.bootS() * 1000 * Constants.BOOT_PATIENCE);
+            long patience =
+                    type == null ? Constants.MIN_CHARGE_MS : (long) (type.bootS() * 1000 * Constants.BOOT_PATIENCE);
             // A new leader has heard nobody yet: machines that are long up must not look as if they never came.
             boolean neverCame = !m.heard() && now - Math.max(m.knownSince(), electedAt) > patience;
             boolean lost = m.heard() && now - m.heardAt() > Constants.LOST_MS;
-            // What a deaf machine still holds has lost its lease; one that never heard this leader can't say so, and only
+            // What a deaf machine still holds has lost its lease; one that never heard this leader can't say so, and
+            // only
             // its end proves it.
             boolean holds = holdsWork.test(m.name());
             boolean deaf = m.deaf() && now - m.deafSince() > (holds ? settings.silenceMs() : Constants.LOST_MS);
@@ -252,10 +292,14 @@
                     continue;
                 }
             }
-            long idleMs = m.spot() ? settings.operator().idleSpotMs() : settings.operator().idleMs();
-            boolean idle = m.heard() && now - m.idleSince() > idleMs
-                    && now - m.knownSince() > Constants.MIN_CHARGE_MS;
-            if (idle && !m.spot() && type != null && now - m.idleSince() <= type.bootS() * 1000
+            long idleMs = m.spot()
+                    ? settings.operator().idleSpotMs()
+                    : settings.operator().idleMs();
+            boolean idle = m.heard() && now - m.idleSince() > idleMs && now - m.knownSince() > Constants.MIN_CHARGE_MS;
+            if (idle
+                    && !m.spot()
+                    && type != null
+                    && now - m.idleSince() <= type.bootS() * 1000
                     && kept + type.cores() <= askedCores) {
                 // The next job is likely to find its room here rather than wait for a boot.
                 kept += type.cores();
@@ -263,8 +307,10 @@
             }
             if (neverCame || lost || deaf || idle || m.draining() && m.heard()) {
                 if (!m.draining()) {
-                    LOG.info("return {}: {}", m.name(), neverCame ? "never came up" : lost ? "lost" : deaf ? "deaf"
-                            : "idle");
+                    LOG.info(
+                            "return {}: {}",
+                            m.name(),
+                            neverCame ? "never came up" : lost ? "lost" : deaf ? "deaf" : "idle");
                 }
                 m.drain();
                 back.add(m);
@@ -285,7 +331,12 @@
             returning.add(m.name());
             names.add(m.name());
         }
-        http.call(settings.cloudAddress(), "POST", "/rentals/delete", Json.bytes(body), Constants.CLOUD_TIMEOUT_MS,
+        http.call(
+                settings.cloudAddress(),
+                "POST",
+                "/rentals/delete",
+                Json.bytes(body),
+                Constants.CLOUD_TIMEOUT_MS,
                 reply -> {
                     if (term != mine) {
                         return;
--- a/src/main/java/org/spoolline/fleet/MachineType.java
+++ b/src/main/java/org/spoolline/fleet/MachineType.java
@@ -8,8 +8,17 @@
 import org.spoolline.pipeline.Submission;
 
 /** A machine type as the cloud offers it. Prices are per hour, the boot time in seconds. */
-public record MachineType(String name, double cores, double accelerators, double memoryGb, double cacheGb,
-                          double fetchGbPerS, double price, double spotPrice, double bootS, List<String> zones) {
+public record MachineType(
+        String name,
+        double cores,
+        double accelerators,
+        double memoryGb,
+        double cacheGb,
+        double fetchGbPerS,
+        double price,
+        double spotPrice,
+        double bootS,
+        List<String> zones) {
 
     /** Reads the cloud's answer; empty when it is none. */
     public static Map<String, MachineType> parse(JsonNode answer) {
@@ -18,18 +27,29 @@
             List<String> zones = new ArrayList<>();
             b.path("yards").forEach(z -> zones.add(z.asText()));
             String name = b.path("name").asText();
-            types.put(name, new MachineType(name, b.path("cores").asDouble(), b.path("accelerators").asDouble(),
-                    b.path("memGb").asDouble(), b.path("cacheGb").asDouble(), b.path("pullGbPerS").asDouble(),
-                    b.path("rate").asDouble(), b.path("spotPrice").asDouble(), b.path("startupS").asDouble(),
-                    zones));
+            types.put(
+                    name,
+                    new MachineType(
+                            name,
+                            b.path("cores").asDouble(),
+                            b.path("accelerators").asDouble(),
+                            b.path("memGb").asDouble(),
+                            b.path("cacheGb").asDouble(),
+                            b.path("pullGbPerS").asDouble(),
+                            b.path("rate").asDouble(),
+                            b.path("spotPrice").asDouble(),
+                            b.path("startupS").asDouble(),
+                            zones));
         }
         return types;
     }
 
     /** True when one task of the job fits an empty machine of this type and the job allows the type. */
     public boolean suits(Submission job) {
-        return (job.types() == null || job.types().contains(name)) && job.cores() <= cores
-                && job.accelerators() <= accelerators && job.memoryGb() <= memoryGb
+        return (job.types() == null || job.types().contains(name))
+                && job.cores() <= cores
+                && job.accelerators() <= accelerators
+                && job.memoryGb() <= memoryGb
                 && (job.zone() == null || zones.contains(job.zone()));
     }
 
--- a/src/main/java/org/spoolline/fleet/RentalPlan.java
+++ b/src/main/java/org/spoolline/fleet/RentalPlan.java
@@ -23,15 +23,13 @@
         public int hashCode() {
             return (type.hashCode() * 31 + zone.hashCode()) * 31 + Boolean.hashCode(spot);
         }
-
     }
 
-    private RentalPlan() {
-    }
+    private RentalPlan() {}
 
     /** How many machines of each offer to rent, given the machines on their way. */
-    public static Map<Offer, Integer> plan(List<Placer.Want> wants, List<Offer> coming,
-                                           Map<String, MachineType> types, Predicate<Offer> available) {
+    public static Map<Offer, Integer> plan(
+            List<Placer.Want> wants, List<Offer> coming, Map<String, MachineType> types, Predicate<Offer> available) {
         List<Room> rooms = new ArrayList<>();
         for (Offer o : coming) {
             MachineType type = types.get(o.type());
@@ -72,8 +70,7 @@
 
     /** The cheapest offer for the tasks left; among nearly equal ones the one that boots sooner. */
     private static Offer best(Submission job, int left, Map<String, MachineType> types, Predicate<Offer> available) {
-        record Scored(Offer offer, double cost, double bootS) {
-        }
+        record Scored(Offer offer, double cost, double bootS) {}
         List<Scored> scored = new ArrayList<>();
         for (MachineType type : types.values()) {
             int fits = Math.min(left, type.suits(job) ? type.fits(job) : 0);
@@ -93,7 +90,9 @@
                 }
             }
         }
-        return scored.stream().min(Comparator.comparingDouble(s -> s.cost() * (1 + s.bootS() / 100)))
-                .map(Scored::offer).orElse(null);
+        return scored.stream()
+                .min(Comparator.comparingDouble(s -> s.cost() * (1 + s.bootS() / 100)))
+                .map(Scored::offer)
+                .orElse(null);
     }
 }
--- a/src/main/java/org/spoolline/fleet/Room.java
+++ b/src/main/java/org/spoolline/fleet/Room.java
@@ -42,11 +42,13 @@
     /** True when the job may run here, room apart. */
     public boolean allows(Submission job) {
         return (job.types() == null || job.types().contains(type.name()))
-                && (job.zone() == null || job.zone().equals(zone)) && (job.spot() || !spot);
+                && (job.zone() == null || job.zone().equals(zone))
+                && (job.spot() || !spot);
     }
 
     public boolean fits(Submission job) {
-        return job.cores() <= cores + Constants.EPSILON && job.accelerators() <= accelerators + Constants.EPSILON
+        return job.cores() <= cores + Constants.EPSILON
+                && job.accelerators() <= accelerators + Constants.EPSILON
                 && job.memoryGb() <= memoryGb + Constants.EPSILON;
     }
 
--- a/src/main/java/org/spoolline/intake/FinalRecord.java
+++ b/src/main/java/org/spoolline/intake/FinalRecord.java
@@ -16,6 +16,7 @@
     }
 
     public static FinalRecord decode(JsonNode stored) {
-        return new FinalRecord("done".equals(stored.path("end").asText()), stored.path("done").asInt());
+        return new FinalRecord(
+                "done".equals(stored.path("end").asText()), stored.path("done").asInt());
     }
 }
--- a/src/main/java/org/spoolline/intake/Intake.java
+++ b/src/main/java/org/spoolline/intake/Intake.java
@@ -60,11 +60,9 @@
     }
 
     /** What was last answered about a live job, and the version of the value that said so. */
-    private record Known(long version, byte[] body) {
-    }
+    private record Known(long version, byte[] body) {}
 
-    private record Poll(String uid, Known known, Consumer<Http.Response> answer) {
-    }
+    private record Poll(String uid, Known known, Consumer<Http.Response> answer) {}
 
     /** A job as the state service has it. */
     private record Stored(JsonNode live, long version, FinalRecord last) {
@@ -151,14 +149,16 @@
             busy(answer);
             return;
         }
-        StateClient.Txn txn = new StateClient.Txn().require(SchedulingCycles.JOBS + job.uid(), 0)
-                .require(SchedulingCycles.FINALS + job.uid(), 0).put(SchedulingCycles.JOBS + job.uid(), value);
+        StateClient.Txn txn = new StateClient.Txn()
+                .require(SchedulingCycles.JOBS + job.uid(), 0)
+                .require(SchedulingCycles.FINALS + job.uid(), 0)
+                .put(SchedulingCycles.JOBS + job.uid(), value);
         state.commit(txn, outcome -> {
             switch (outcome.fate()) {
                 case APPLIED -> {
                     LOG.info("accepted {}: {} of {}, {} tasks", job.uid(), job.jobClass(), job.team(), job.tasks());
-                    answer.accept(Http.Response.of(201, Json.bytes(Json.object().put("uid", job.uid())
-                            .put("status", "pending"))));
+                    answer.accept(Http.Response.of(
+                            201, Json.bytes(Json.object().put("uid", job.uid()).put("status", "pending"))));
                 }
                 case CONFLICT -> lookUp(job.uid(), answer, stored -> {
                     if (stored.known()) {
@@ -183,14 +183,18 @@
                 || job.accelerators() * atOnce > team.acceleratorsMax() + 1e-6) {
             return "over the limit of team " + job.team();
         }
-        List<MachineType> suited = catalog.types().values().stream().filter(t -> t.suits(job)).toList();
+        List<MachineType> suited =
+                catalog.types().values().stream().filter(t -> t.suits(job)).toList();
         if (suited.isEmpty()) {
             return "a task fits no allowed machine type";
         }
         // At most half of the tasks may be in one zone, and all of a gang's run at the same time.
-        long zones = job.oneZone() || job.zone() != null ? 1
+        long zones = job.oneZone() || job.zone() != null
+                ? 1
                 : suited.stream().flatMap(t -> t.zones().stream()).distinct().count();
-        return job.gang() && job.spread() && job.tasks() > 1 && zones < 2 ? "a gang can't be spread over one zone" : null;
+        return job.gang() && job.spread() && job.tasks() > 1 && zones < 2
+                ? "a gang can't be spread over one zone"
+                : null;
     }
 
     private void poll(String uid, Consumer<Http.Response> answer) {
@@ -212,8 +216,8 @@
     }
 
     private void read(String uid, Consumer<Http.Response> answer) {
-        if (state.fewRequestsLeft() && loop.now() - answeredAt.getOrDefault(uid, Long.MIN_VALUE / 2)
-                < Constants.POLL_TURN_MS) {
+        if (state.fewRequestsLeft()
+                && loop.now() - answeredAt.getOrDefault(uid, Long.MIN_VALUE / 2) < Constants.POLL_TURN_MS) {
             // By chance alone some jobs would go without any answer for minutes while others get one each time.
             busy(answer);
             return;
@@ -247,7 +251,8 @@
             return;
         }
         StateClient.Txn txn = new StateClient.Txn();
-        batch.forEach(p -> txn.require(SchedulingCycles.JOBS + p.uid(), p.known().version()));
+        batch.forEach(
+                p -> txn.require(SchedulingCycles.JOBS + p.uid(), p.known().version()));
         state.commit(txn, outcome -> {
             Set<String> changed = Set.copyOf(outcome.failed());
             for (Poll poll : batch) {
@@ -283,7 +288,8 @@
                 busy(answer);
                 return;
             }
-            StateClient.Txn txn = new StateClient.Txn().require(SchedulingCycles.JOBS + uid, stored.version())
+            StateClient.Txn txn = new StateClient.Txn()
+                    .require(SchedulingCycles.JOBS + uid, stored.version())
                     .put(SchedulingCycles.JOBS + uid, pipeline.encode());
             state.commit(txn, outcome -> {
                 if (outcome.fate() == StateClient.Fate.APPLIED) {
@@ -338,16 +344,23 @@
         }
         Pipeline pipeline = Pipeline.decode(stored.live());
         int running = pipeline.attempts().size();
-        byte[] body = pipeline.cancelled() ? aborted(uid) : Json.bytes(Json.object().put("uid", uid)
-                .put("status", running > 0 ? "running" : "pending").put("done", pipeline.doneCount())
-                .put("running", running));
+        byte[] body = pipeline.cancelled()
+                ? aborted(uid)
+                : Json.bytes(Json.object()
+                        .put("uid", uid)
+                        .put("status", running > 0 ? "running" : "pending")
+                        .put("done", pipeline.doneCount())
+                        .put("running", running));
         live.put(uid, new Known(stored.version(), body));
         return body;
     }
 
     private static byte[] over(String uid, FinalRecord record) {
-        return Json.bytes(Json.object().put("uid", uid).put("status", record.done() ? "done" : "aborted")
-                .put("done", record.doneTasks()).put("running", 0));
+        return Json.bytes(Json.object()
+                .put("uid", uid)
+                .put("status", record.done() ? "done" : "aborted")
+                .put("done", record.doneTasks())
+                .put("running", 0));
     }
 
     private static byte[] aborted(String uid) {
--- a/src/main/java/org/spoolline/leadership/Freshness.java
+++ b/src/main/java/org/spoolline/leadership/Freshness.java
@@ -45,8 +45,7 @@
 
     /** Answers that renew workers' leases: a task that the view should not hold any more lives no longer than those. */
     public boolean mayRenewLeases() {
-        return leadership.mayKeepAlive()
-                && loop.now() < settings.leadershipEnds(completeAsOf) + settings.keepAliveMs();
+        return leadership.mayKeepAlive() && loop.now() < settings.leadershipEnds(completeAsOf) + settings.keepAliveMs();
     }
 
     /**
--- a/src/main/java/org/spoolline/leadership/Leadership.java
+++ b/src/main/java/org/spoolline/leadership/Leadership.java
@@ -19,6 +19,7 @@
 public final class Leadership {
     /** Where the leader's key and the token counter live. */
     public static final String LEADER_KEY = "leader";
+
     public static final String TOKEN_KEY = "token";
     private static final Logger LOG = LoggerFactory.getLogger(Leadership.class);
 
@@ -188,7 +189,8 @@
         }
         state.watch(LEADER_KEY, version, Constants.WATCH_MS, watched -> {
             if (watched.reached() && !watched.changes().isEmpty()) {
-                StateClient.Change last = watched.changes().get(watched.changes().size() - 1);
+                StateClient.Change last =
+                        watched.changes().get(watched.changes().size() - 1);
                 if (last.value() != null) {
                     follow(last.value(), last.version());
                     return;
@@ -226,10 +228,15 @@
     }
 
     private void elect(long fresh, long leaseSent, long next, long tokenVersion, long held) {
-        ObjectNode leader = Json.object().put("node", settings.node()).put("addr", settings.internalAddress())
+        ObjectNode leader = Json.object()
+                .put("node", settings.node())
+                .put("addr", settings.internalAddress())
                 .put("token", next);
-        StateClient.Txn txn = new StateClient.Txn().require(LEADER_KEY, held).require(TOKEN_KEY, tokenVersion)
-                .put(TOKEN_KEY, Json.object().put("n", next)).putLeased(LEADER_KEY, leader, fresh);
+        StateClient.Txn txn = new StateClient.Txn()
+                .require(LEADER_KEY, held)
+                .require(TOKEN_KEY, tokenVersion)
+                .put(TOKEN_KEY, Json.object().put("n", next))
+                .putLeased(LEADER_KEY, leader, fresh);
         state.force(2);
         state.commit(txn, outcome -> {
             standing = false;
--- a/src/main/java/org/spoolline/net/Http.java
+++ b/src/main/java/org/spoolline/net/Http.java
@@ -4,12 +4,10 @@
 
 /** Messages of the HTTP edge, free of any library's types. */
 public final class Http {
-    private Http() {
-    }
+    private Http() {}
 
     /** A request received. {@code query} is the raw query string or empty. */
-    public record Request(String method, String path, String query, byte[] body) {
-    }
+    public record Request(String method, String path, String query, byte[] body) {}
 
     /** An answer to send; {@code retryAfterS} of 0 sends no Retry-After. */
     public record Response(int status, byte[] body, int retryAfterS) {
--- a/src/main/java/org/spoolline/net/Json.java
+++ b/src/main/java/org/spoolline/net/Json.java
@@ -16,8 +16,7 @@
     private static final JsonFactory FORMAT = new JsonFactory();
     private static final TreeCodec CODEC = new TreeCodec(FORMAT);
 
-    private Json() {
-    }
+    private Json() {}
 
     /** For what is read as it streams by. */
     public static JsonParser parser(byte[] bytes) throws IOException {
--- a/src/main/java/org/spoolline/net/UndertowCaller.java
+++ b/src/main/java/org/spoolline/net/UndertowCaller.java
@@ -38,6 +38,7 @@
     private final Guard guard;
     /** Idle connections by target; the target that was used longest ago comes first. */
     private final Map<String, Deque<ClientConnection>> idle = new LinkedHashMap<>(16, 0.75f, true);
+
     private int kept;
 
     /** Keeps at most {@code keep} idle connections: every worker is called now and then, and sockets are few. */
@@ -77,8 +78,8 @@
     }
 
     @Override
-    public void call(String target, String method, String path, byte[] body, long timeoutMs,
-                     Consumer<Http.Reply> done) {
+    public void call(
+            String target, String method, String path, byte[] body, long timeoutMs, Consumer<Http.Reply> done) {
         new Call(target, method, path, body, done).start(timeoutMs);
     }
 
@@ -107,26 +108,33 @@
                 send(open);
                 return;
             }
-            HTTP.connect(new ClientCallback<>() {
-                @Override
-                public void completed(ClientConnection fresh) {
-                    if (over) {
-                        IoUtils.safeClose(fresh);
-                    } else {
-                        send(fresh);
-                    }
-                }
+            HTTP.connect(
+                    new ClientCallback<>() {
+                        @Override
+                        public void completed(ClientConnection fresh) {
+                            if (over) {
+                                IoUtils.safeClose(fresh);
+                            } else {
+                                send(fresh);
+                            }
+                        }
 
-                @Override
-                public void failed(IOException e) {
-                    fail();
-                }
-            }, URI.create("http://" + target), thread, null, buffers, OptionMap.EMPTY);
+                        @Override
+                        public void failed(IOException e) {
+                            fail();
+                        }
+                    },
+                    URI.create("http://" + target),
+                    thread,
+                    null,
+                    buffers,
+                    OptionMap.EMPTY);
         }
 
         private void send(ClientConnection on) {
             connection = on;
-            ClientRequest request = new ClientRequest().setMethod(new HttpString(method)).setPath(path);
+            ClientRequest request =
+                    new ClientRequest().setMethod(new HttpString(method)).setPath(path);
             request.getRequestHeaders().put(Headers.HOST, target);
             if (body != null) {
                 request.getRequestHeaders().put(Headers.CONTENT_TYPE, "application/json");
@@ -170,8 +178,7 @@
                 sink.suspendWrites();
                 sink.shutdownWrites();
                 if (!sink.flush()) {
-                    sink.getWriteSetter().set(ChannelListeners.flushingChannelListener(null,
-                            (ch, e) -> fail()));
+                    sink.getWriteSetter().set(ChannelListeners.flushingChannelListener(null, (ch, e) -> fail()));
                     sink.resumeWrites();
                 }
             } catch (IOException e) {
@@ -181,16 +188,21 @@
 
         private void read(ClientExchange exchange) {
             int status = exchange.getResponse().getResponseCode();
-            boolean close = "close".equalsIgnoreCase(exchange.getResponse().getResponseHeaders()
-                    .getFirst(Headers.CONNECTION));
+            boolean close = "close"
+                    .equalsIgnoreCase(
+                            exchange.getResponse().getResponseHeaders().getFirst(Headers.CONNECTION));
             ByteArrayOutputStream collected = new ByteArrayOutputStream();
             ByteBuffer chunk = ByteBuffer.allocate(Constants.READ_CHUNK_BYTES);
             StreamSourceChannel source = exchange.getResponseChannel();
             drain(source, chunk, collected, status, close);
         }
 
-        private void drain(StreamSourceChannel source, ByteBuffer chunk, ByteArrayOutputStream collected,
-                           int status, boolean close) {
+        private void drain(
+                StreamSourceChannel source,
+                ByteBuffer chunk,
+                ByteArrayOutputStream collected,
+                int status,
+                boolean close) {
             try {
                 while (true) {
                     chunk.clear();
--- a/src/main/java/org/spoolline/net/UndertowServer.java
+++ b/src/main/java/org/spoolline/net/UndertowServer.java
@@ -50,7 +50,8 @@
                 .set(Options.REUSE_ADDRESSES, true)
                 .set(Options.BACKLOG, backlog)
                 .getMap();
-        worker.createStreamConnectionServer(socketAddress(address), ChannelListeners.openListenerAdapter(opener), sockets)
+        worker.createStreamConnectionServer(
+                        socketAddress(address), ChannelListeners.openListenerAdapter(opener), sockets)
                 .resumeAccepts();
     }
 
@@ -75,8 +76,8 @@
     }
 
     /** Reads the body in bulk: Undertow's own receiver copies it byte by byte, half the cost of a check-in. */
-    private void read(HttpServerExchange exchange, StreamSourceChannel source, ByteBuffer collected,
-                      Http.Handler handler) {
+    private void read(
+            HttpServerExchange exchange, StreamSourceChannel source, ByteBuffer collected, Http.Handler handler) {
         ByteBuffer body = collected;
         try {
             while (true) {
@@ -113,12 +114,14 @@
         if (exchange.isResponseStarted()) {
             return;
         }
-        Http.Request request = new Http.Request(exchange.getRequestMethod().toString(), exchange.getRequestPath(),
-                exchange.getQueryString(), body);
-        // In the same call: through the loop's queue each request would be one more task, and the loop looks at the network
+        Http.Request request = new Http.Request(
+                exchange.getRequestMethod().toString(), exchange.getRequestPath(), exchange.getQueryString(), body);
+        // In the same call: through the loop's queue each request would be one more task, and the loop looks at the
+        // network
         // and its timers only when no task is left.
         exchange.dispatch(SameThreadExecutor.INSTANCE, () -> {
-            boolean fine = guard.run(request.method() + " " + request.path(),
+            boolean fine = guard.run(
+                    request.method() + " " + request.path(),
                     () -> handler.handle(request, response -> send(exchange, response)));
             if (!fine && !exchange.isResponseStarted()) {
                 send(exchange, new Http.Response(503, new byte[0], Constants.RETRY_AFTER_S));
--- a/src/main/java/org/spoolline/peers/Cbor.java
+++ b/src/main/java/org/spoolline/peers/Cbor.java
@@ -13,8 +13,7 @@
 final class Cbor {
     private static final TreeCodec CODEC = new TreeCodec(new CBORFactory());
 
-    private Cbor() {
-    }
+    private Cbor() {}
 
     static ObjectNode object() {
         return JsonNodeFactory.instance.objectNode();
--- a/src/main/java/org/spoolline/peers/Peers.java
+++ b/src/main/java/org/spoolline/peers/Peers.java
@@ -31,8 +31,7 @@
         void cancelled(String uid);
     }
 
-    private record Seen(PeerStatus status, long at) {
-    }
+    private record Seen(PeerStatus status, long at) {}
 
     private final Loop loop;
     private final Http.Caller http;
@@ -42,8 +41,8 @@
     private final Local local;
     private final Map<String, Seen> seen = new HashMap<>();
 
-    public Peers(Loop loop, Http.Caller http, Settings settings, StateClient state, Leadership leadership,
-                 Local local) {
+    public Peers(
+            Loop loop, Http.Caller http, Settings settings, StateClient state, Leadership leadership, Local local) {
         this.loop = loop;
         this.http = http;
         this.settings = settings;
@@ -98,8 +97,13 @@
     public void tellLeader(String cancelledUid) {
         for (Settings.Peer peer : settings.peers()) {
             if (peer.node().equals(leadership.knownLeader())) {
-                http.call(peer.address(), "POST", CANCELLED, Cbor.bytes(Cbor.object().put("uid", cancelledUid)),
-                        Constants.PEER_TIMEOUT_MS, reply -> { });
+                http.call(
+                        peer.address(),
+                        "POST",
+                        CANCELLED,
+                        Cbor.bytes(Cbor.object().put("uid", cancelledUid)),
+                        Constants.PEER_TIMEOUT_MS,
+                        reply -> {});
             }
         }
     }
@@ -109,11 +113,18 @@
         for (Settings.Peer peer : settings.peers()) {
             Seen last = seen.get(peer.node());
             if (last != null && reaches(last)) {
-                http.call(peer.address(), "POST", FORWARD, Forwarded.encode(request), Constants.PEER_TIMEOUT_MS,
+                http.call(
+                        peer.address(),
+                        "POST",
+                        FORWARD,
+                        Forwarded.encode(request),
+                        Constants.PEER_TIMEOUT_MS,
                         reply -> {
                             Http.Response response = reply.ok() ? Forwarded.response(reply.body()) : null;
-                            answer.accept(response != null ? response
-                                    : new Http.Response(503, new byte[0], Constants.RETRY_AFTER_S));
+                            answer.accept(
+                                    response != null
+                                            ? response
+                                            : new Http.Response(503, new byte[0], Constants.RETRY_AFTER_S));
                         });
                 return true;
             }
--- a/src/main/java/org/spoolline/pipeline/Attempt.java
+++ b/src/main/java/org/spoolline/pipeline/Attempt.java
@@ -11,7 +11,10 @@
      */
     @Override
     public boolean equals(Object other) {
-        return other instanceof Attempt a && task == a.task && number == a.number && session == a.session
+        return other instanceof Attempt a
+                && task == a.task
+                && number == a.number
+                && session == a.session
                 && machine.equals(a.machine);
     }
 
--- a/src/main/java/org/spoolline/pipeline/AttemptsCodec.java
+++ b/src/main/java/org/spoolline/pipeline/AttemptsCodec.java
@@ -26,12 +26,16 @@
     private record Name(String prefix, int digits, int number) {
         static Name of(String machine) {
             int at = machine.length();
-            while (at > 0 && machine.length() - at < DIGITS_MOST && machine.charAt(at - 1) >= '0'
+            while (at > 0
+                    && machine.length() - at < DIGITS_MOST
+                    && machine.charAt(at - 1) >= '0'
                     && machine.charAt(at - 1) <= '9') {
                 at--;
             }
-            return at == machine.length() ? new Name(machine, 0, 0)
-                    : new Name(machine.substring(0, at), machine.length() - at, Integer.parseInt(machine.substring(at)));
+            return at == machine.length()
+                    ? new Name(machine, 0, 0)
+                    : new Name(
+                            machine.substring(0, at), machine.length() - at, Integer.parseInt(machine.substring(at)));
         }
 
         boolean alike(Name other) {
@@ -68,16 +72,19 @@
 
         @Override
         public int hashCode() {
-            return ((name.hashCode() * 31 + machine.hashCode()) * 31 + Long.hashCode(session)) * 31 + Long.hashCode(number);
+            return ((name.hashCode() * 31 + machine.hashCode()) * 31 + Long.hashCode(session)) * 31
+                    + Long.hashCode(number);
         }
     }
 
-    private static final Comparator<Place> ORDER = Comparator.comparing((Place p) -> p.name().prefix())
-            .thenComparingInt(p -> p.name().digits()).thenComparingInt(p -> p.name().number())
-            .thenComparingLong(Place::session).thenComparingLong(Place::number);
+    private static final Comparator<Place> ORDER = Comparator.comparing(
+                    (Place p) -> p.name().prefix())
+            .thenComparingInt(p -> p.name().digits())
+            .thenComparingInt(p -> p.name().number())
+            .thenComparingLong(Place::session)
+            .thenComparingLong(Place::number);
 
-    private AttemptsCodec() {
-    }
+    private AttemptsCodec() {}
 
     /** {@code last} is a number that no attempt's exceeds: numbers are stored by their distance to it. */
     static ArrayNode encode(Collection<Attempt> attempts, long last) {
@@ -106,7 +113,11 @@
                 before = place.name().number();
                 index.put(place, at++);
             }
-            all.addArray().add(first.prefix()).add(first.digits()).add(at - from).add(bits.text());
+            all.addArray()
+                    .add(first.prefix())
+                    .add(first.digits())
+                    .add(at - from)
+                    .add(bits.text());
         }
         int width = width(places.size());
         Bits bits = new Bits();
@@ -136,8 +147,11 @@
             for (int left = section.path(2).asInt(); left > 0; left--) {
                 machine += bits.number();
                 long session = bits.number() + 1;
-                places.add(new Attempt(0, last - bits.number(),
-                        Name.text(section.path(0).asText(), section.path(1).asInt(), machine), session));
+                places.add(new Attempt(
+                        0,
+                        last - bits.number(),
+                        Name.text(section.path(0).asText(), section.path(1).asInt(), machine),
+                        session));
             }
         }
         int width = width(places.size());
--- a/src/main/java/org/spoolline/pipeline/Cekk.java
+++ b/src/main/java/org/spoolline/pipeline/Cekk.java
@@ -21,17 +21,25 @@
     }
 
     /** Known status of an activity or a join. */
-    public enum Status { SUCCEEDED, FAILED, CANCELLED }
+    public enum Status {
+        SUCCEEDED,
+        FAILED,
+        CANCELLED
+    }
 
     /** How a pipeline stands. */
-    public enum End { RUNNING, SUCCEEDED, FAILED }
+    public enum End {
+        RUNNING,
+        SUCCEEDED,
+        FAILED
+    }
 
     /**
      * A whole pipeline: its live branches, its environment of statuses and join counts, and whether it is failing.
      * While it fails, no branch goes on; each ends as its activity does.
      */
-    public record State(List<Branch> branches, Map<String, Status> statuses, Map<String, Integer> joined,
-                        boolean failing) {
+    public record State(
+            List<Branch> branches, Map<String, Status> statuses, Map<String, Integer> joined, boolean failing) {
         public End end() {
             if (!branches.isEmpty()) {
                 return End.RUNNING;
@@ -152,7 +160,8 @@
                 branch = alternative(closure.rest(), closure.success(), closure.failure(), closure.endless());
             } else if (control instanceof Flow.Fork fork) {
                 // F1
-                Stack joining = success.push(new Flow.Join(fork.join(), fork.flows().size()));
+                Stack joining =
+                        success.push(new Flow.Join(fork.join(), fork.flows().size()));
                 for (Flow flow : fork.flows()) {
                     enact(new Branch(flow, joining, failure));
                 }
@@ -198,7 +207,10 @@
     }
 
     private State state() {
-        return new State(List.copyOf(branches), Collections.unmodifiableMap(statuses),
-                Collections.unmodifiableMap(joined), failing);
+        return new State(
+                List.copyOf(branches),
+                Collections.unmodifiableMap(statuses),
+                Collections.unmodifiableMap(joined),
+                failing);
     }
 }
--- a/src/main/java/org/spoolline/pipeline/Pipeline.java
+++ b/src/main/java/org/spoolline/pipeline/Pipeline.java
@@ -35,13 +35,24 @@
     private long lastAttempt;
     /** By task: a task has one attempt at most. */
     private final Int2ObjectHashMap<Attempt> attempts;
+
     private int failures;
     private long notBefore;
     private final Set<String> avoided;
 
-    private Pipeline(Submission spec, JsonNode rawSpec, long acceptedAt, boolean cancelled, Cekk.State cekk, int low,
-                     BitSet window, long lastAttempt, Int2ObjectHashMap<Attempt> attempts, int failures, long notBefore,
-                     Set<String> avoided) {
+    private Pipeline(
+            Submission spec,
+            JsonNode rawSpec,
+            long acceptedAt,
+            boolean cancelled,
+            Cekk.State cekk,
+            int low,
+            BitSet window,
+            long lastAttempt,
+            Int2ObjectHashMap<Attempt> attempts,
+            int failures,
+            long notBefore,
+            Set<String> avoided) {
         this.spec = spec;
         this.rawSpec = rawSpec;
         this.acceptedAt = acceptedAt;
@@ -58,7 +69,18 @@
 
     /** A new pipeline; {@code acceptedAt} is the time of day in milliseconds. */
     public static Pipeline accept(Submission spec, JsonNode rawSpec, long acceptedAt) {
-        return new Pipeline(spec, rawSpec, acceptedAt, false, enacted(), 0, new BitSet(), 0, noAttempts(), 0, 0,
+        return new Pipeline(
+                spec,
+                rawSpec,
+                acceptedAt,
+                false,
+                enacted(),
+                0,
+                new BitSet(),
+                0,
+                noAttempts(),
+                0,
+                0,
                 new LinkedHashSet<>());
     }
 
@@ -70,14 +92,25 @@
     /** The job's activity under an or-closure that regenerates itself: a users' job is never called failed. */
     private static Cekk.State enacted() {
         Flow.Activity job = new Flow.Activity(ACTIVITY);
-        Stack endless = Stack.BOTTOM.push(new Flow.OrClosure(new Flow.Or(List.of(job)), Stack.BOTTOM, Stack.BOTTOM,
-                true));
+        Stack endless =
+                Stack.BOTTOM.push(new Flow.OrClosure(new Flow.Or(List.of(job)), Stack.BOTTOM, Stack.BOTTOM, true));
         return Cekk.start(job, endless);
     }
 
     public Pipeline copy() {
-        return new Pipeline(spec, rawSpec, acceptedAt, cancelled, cekk, low, (BitSet) window.clone(), lastAttempt,
-                new Int2ObjectHashMap<>(attempts), failures, notBefore, new LinkedHashSet<>(avoided));
+        return new Pipeline(
+                spec,
+                rawSpec,
+                acceptedAt,
+                cancelled,
+                cekk,
+                low,
+                (BitSet) window.clone(),
+                lastAttempt,
+                new Int2ObjectHashMap<>(attempts),
+                failures,
+                notBefore,
+                new LinkedHashSet<>(avoided));
     }
 
     public Submission spec() {
@@ -277,19 +310,29 @@
         Int2ObjectHashMap<Attempt> attempts = noAttempts();
         long last = value.path("n").asLong();
         switch (value.path("ver").asInt()) {
-            case Constants.PIPELINE_VERSION -> AttemptsCodec.decode(value.path("on"), last,
-                    a -> attempts.put(a.task(), a));
+            case Constants.PIPELINE_VERSION -> AttemptsCodec.decode(
+                    value.path("on"), last, a -> attempts.put(a.task(), a));
             case Constants.PIPELINE_VERSION_BEFORE -> decodeRuns(value.path("on"), attempts);
             default -> throw new IllegalArgumentException("pipeline value of unknown version " + value.path("ver"));
         }
         Set<String> avoided = new LinkedHashSet<>();
         value.path("avoid").forEach(m -> avoided.add(m.asText()));
         JsonNode raw = value.path("job");
-        BitSet window = BitSet.valueOf(Base64.getDecoder().decode(value.path("win").asText("")));
-        return new Pipeline(SubmissionCodec.trusted(raw), raw, value.path("at").asLong(),
-                saysCancelled(value), StackCodec.decode(value.path("k")), value.path("low").asInt(),
-                window, last, attempts, value.path("fails").asInt(),
-                value.path("notBefore").asLong(), avoided);
+        BitSet window =
+                BitSet.valueOf(Base64.getDecoder().decode(value.path("win").asText("")));
+        return new Pipeline(
+                SubmissionCodec.trusted(raw),
+                raw,
+                value.path("at").asLong(),
+                saysCancelled(value),
+                StackCodec.decode(value.path("k")),
+                value.path("low").asInt(),
+                window,
+                last,
+                attempts,
+                value.path("fails").asInt(),
+                value.path("notBefore").asLong(),
+                avoided);
     }
 
     /** The earlier form: a group is an array of machine, session, number and runs of tasks as text. */
@@ -300,8 +343,13 @@
                 int from = Integer.parseInt(dash < 0 ? run : run.substring(0, dash));
                 int to = dash < 0 ? from : Integer.parseInt(run.substring(dash + 1));
                 for (int task = from; task <= to; task++) {
-                    attempts.put(task, new Attempt(task, group.path(2).asLong(), group.path(0).asText(),
-                            group.path(1).asLong()));
+                    attempts.put(
+                            task,
+                            new Attempt(
+                                    task,
+                                    group.path(2).asLong(),
+                                    group.path(0).asText(),
+                                    group.path(1).asLong()));
                 }
             }
         }
--- a/src/main/java/org/spoolline/pipeline/StackCodec.java
+++ b/src/main/java/org/spoolline/pipeline/StackCodec.java
@@ -11,8 +11,7 @@
 
 /** Frames and stacks as compact JSON: an array whose first element names the kind of frame. */
 public final class StackCodec {
-    private StackCodec() {
-    }
+    private StackCodec() {}
 
     public static JsonNode encode(Cekk.State state) {
         ObjectNode node = Json.object();
@@ -25,7 +24,8 @@
         }
         if (!state.statuses().isEmpty()) {
             ObjectNode env = node.putObject("e");
-            state.statuses().forEach((name, status) -> env.put(name, status.name().substring(0, 1)));
+            state.statuses()
+                    .forEach((name, status) -> env.put(name, status.name().substring(0, 1)));
         }
         if (!state.joined().isEmpty()) {
             ObjectNode joins = node.putObject("j");
@@ -43,13 +43,19 @@
             branches.add(new Cekk.Branch(flow(b.get(0)), stack(b.get(1)), stack(b.get(2))));
         }
         Map<String, Cekk.Status> statuses = new LinkedHashMap<>();
-        node.path("e").properties().forEach(e -> statuses.put(e.getKey(), switch (e.getValue().asText()) {
-            case "S" -> Cekk.Status.SUCCEEDED;
-            case "F" -> Cekk.Status.FAILED;
-            default -> Cekk.Status.CANCELLED;
-        }));
+        node.path("e")
+                .properties()
+                .forEach(e -> statuses.put(
+                        e.getKey(),
+                        switch (e.getValue().asText()) {
+                            case "S" -> Cekk.Status.SUCCEEDED;
+                            case "F" -> Cekk.Status.FAILED;
+                            default -> Cekk.Status.CANCELLED;
+                        }));
         Map<String, Integer> joined = new LinkedHashMap<>();
-        node.path("j").properties().forEach(e -> joined.put(e.getKey(), e.getValue().asInt()));
+        node.path("j")
+                .properties()
+                .forEach(e -> joined.put(e.getKey(), e.getValue().asInt()));
         return new Cekk.State(branches, statuses, joined, node.path("f").asBoolean());
     }
 
@@ -79,7 +85,11 @@
         } else if (flow instanceof Flow.Join j) {
             node.add("j").add(j.name()).add(j.needed());
         } else if (flow instanceof Flow.OrClosure c) {
-            node.add("c").add(flow(c.rest())).add(stack(c.success())).add(stack(c.failure())).add(c.endless());
+            node.add("c")
+                    .add(flow(c.rest()))
+                    .add(stack(c.success()))
+                    .add(stack(c.failure()))
+                    .add(c.endless());
         } else {
             node.add("e");
         }
@@ -93,7 +103,10 @@
             case "o" -> new Flow.Or(flows(node, 1));
             case "k" -> new Flow.Fork(node.get(1).asText(), flows(node, 2));
             case "j" -> new Flow.Join(node.get(1).asText(), node.get(2).asInt());
-            case "c" -> new Flow.OrClosure((Flow.Or) flow(node.get(1)), stack(node.get(2)), stack(node.get(3)),
+            case "c" -> new Flow.OrClosure(
+                    (Flow.Or) flow(node.get(1)),
+                    stack(node.get(2)),
+                    stack(node.get(3)),
                     node.get(4).asBoolean());
             default -> Flow.EMPTY;
         };
--- a/src/main/java/org/spoolline/pipeline/Submission.java
+++ b/src/main/java/org/spoolline/pipeline/Submission.java
@@ -3,19 +3,41 @@
 import java.util.Set;
 
 /** What a user asked for, checked. {@code builds} is null for any machine type, {@code zone} for any zone. */
-public record Submission(String uid, String jobClass, String team, Shape shape, Priority priority, int tasks,
-                         double cores, double accelerators, double memoryGb, String image, double imageGb,
-                         Set<String> types, String zone, boolean oneZone, boolean spread, boolean spot,
-                         double estimateS, double checkpointS, double saveS, Double deadlineS) {
+public record Submission(
+        String uid,
+        String jobClass,
+        String team,
+        Shape shape,
+        Priority priority,
+        int tasks,
+        double cores,
+        double accelerators,
+        double memoryGb,
+        String image,
+        double imageGb,
+        Set<String> types,
+        String zone,
+        boolean oneZone,
+        boolean spread,
+        boolean spot,
+        double estimateS,
+        double checkpointS,
+        double saveS,
+        Double deadlineS) {
 
     /** Independent tasks; tasks that run together or not at all; tasks kept running until the user cancels. */
     public enum Shape {
-        ARRAY, GANG, SERVICE
+        ARRAY,
+        GANG,
+        SERVICE
     }
 
     /** From least to most urgent. */
     public enum Priority {
-        BEST_EFFORT, STANDARD, URGENT, CRITICAL
+        BEST_EFFORT,
+        STANDARD,
+        URGENT,
+        CRITICAL
     }
 
     public boolean gang() {
--- a/src/main/java/org/spoolline/pipeline/SubmissionCodec.java
+++ b/src/main/java/org/spoolline/pipeline/SubmissionCodec.java
@@ -22,8 +22,7 @@
         }
     }
 
-    private SubmissionCodec() {
-    }
+    private SubmissionCodec() {}
 
     public static boolean validUid(String uid) {
         return UID.matcher(uid).matches();
@@ -38,21 +37,25 @@
         if (!validUid(uid)) {
             throw new Malformed("uid");
         }
-        Submission.Shape shape = switch (text(in, "shape")) {
-            case "batch" -> Submission.Shape.ARRAY;
-            case "group" -> Submission.Shape.GANG;
-            case "standing" -> Submission.Shape.SERVICE;
-            default -> throw new Malformed("shape");
-        };
-        Submission.Priority priority = switch (text(in, "urgency")) {
-            case "critical" -> Submission.Priority.CRITICAL;
-            case "urgent" -> Submission.Priority.URGENT;
-            case "standard" -> Submission.Priority.STANDARD;
-            case "best_effort" -> Submission.Priority.BEST_EFFORT;
-            default -> throw new Malformed("urgency");
-        };
+        Submission.Shape shape =
+                switch (text(in, "shape")) {
+                    case "batch" -> Submission.Shape.ARRAY;
+                    case "group" -> Submission.Shape.GANG;
+                    case "standing" -> Submission.Shape.SERVICE;
+                    default -> throw new Malformed("shape");
+                };
+        Submission.Priority priority =
+                switch (text(in, "urgency")) {
+                    case "critical" -> Submission.Priority.CRITICAL;
+                    case "urgent" -> Submission.Priority.URGENT;
+                    case "standard" -> Submission.Priority.STANDARD;
+                    case "best_effort" -> Submission.Priority.BEST_EFFORT;
+                    default -> throw new Malformed("urgency");
+                };
         JsonNode slips = in.path("slips");
-        if (!slips.isIntegralNumber() || !slips.canConvertToInt() || slips.asInt() < 1
+        if (!slips.isIntegralNumber()
+                || !slips.canConvertToInt()
+                || slips.asInt() < 1
                 || slips.asInt() > Constants.MAX_TASKS) {
             throw new Malformed("slips");
         }
@@ -81,25 +84,55 @@
             throw new Malformed("cores");
         }
         Double due = absent(in.path("dueS")) ? null : Double.valueOf(amount(in, "dueS"));
-        return new Submission(uid, text(in, "lane"), text(in, "desk"), shape, priority, slips.asInt(), cores,
-                amount(in, "accelerators"), amount(in, "memGb"), text(in, "plate"), amount(in, "imageGb"), builds,
-                absent(yard) ? null : yard.asText(), flag(in, "samePlace"), flag(in, "scatter"), flag(in, "standby"),
-                amount(in, "expectS"), amount(in, "bookmarkS"), amount(in, "stashS"), due);
+        return new Submission(
+                uid,
+                text(in, "lane"),
+                text(in, "desk"),
+                shape,
+                priority,
+                slips.asInt(),
+                cores,
+                amount(in, "accelerators"),
+                amount(in, "memGb"),
+                text(in, "plate"),
+                amount(in, "imageGb"),
+                builds,
+                absent(yard) ? null : yard.asText(),
+                flag(in, "samePlace"),
+                flag(in, "scatter"),
+                flag(in, "standby"),
+                amount(in, "expectS"),
+                amount(in, "bookmarkS"),
+                amount(in, "stashS"),
+                due);
     }
 
     /** The compact stored form: the known fields only. */
     public static ObjectNode encode(Submission s) {
-        ObjectNode out = Json.object().put("uid", s.uid()).put("lane", s.jobClass()).put("desk", s.team())
-                .put("shape", switch (s.shape()) {
-                    case ARRAY -> "batch";
-                    case GANG -> "group";
-                    case SERVICE -> "standing";
-                })
-                .put("urgency", s.priority().name().toLowerCase(java.util.Locale.ROOT)).put("slips", s.tasks())
-                .put("cores", s.cores()).put("accelerators", s.accelerators()).put("memGb", s.memoryGb())
-                .put("plate", s.image()).put("imageGb", s.imageGb()).put("samePlace", s.oneZone())
-                .put("scatter", s.spread()).put("standby", s.spot()).put("expectS", s.estimateS())
-                .put("bookmarkS", s.checkpointS()).put("stashS", s.saveS());
+        ObjectNode out = Json.object()
+                .put("uid", s.uid())
+                .put("lane", s.jobClass())
+                .put("desk", s.team())
+                .put(
+                        "shape",
+                        switch (s.shape()) {
+                            case ARRAY -> "batch";
+                            case GANG -> "group";
+                            case SERVICE -> "standing";
+                        })
+                .put("urgency", s.priority().name().toLowerCase(java.util.Locale.ROOT))
+                .put("slips", s.tasks())
+                .put("cores", s.cores())
+                .put("accelerators", s.accelerators())
+                .put("memGb", s.memoryGb())
+                .put("plate", s.image())
+                .put("imageGb", s.imageGb())
+                .put("samePlace", s.oneZone())
+                .put("scatter", s.spread())
+                .put("standby", s.spot())
+                .put("expectS", s.estimateS())
+                .put("bookmarkS", s.checkpointS())
+                .put("stashS", s.saveS());
         if (s.types() != null) {
             ArrayNode types = out.putArray("builds");
             s.types().forEach(types::add);
--- a/src/main/java/org/spoolline/placement/ClusterSnapshot.java
+++ b/src/main/java/org/spoolline/placement/ClusterSnapshot.java
@@ -22,10 +22,19 @@
  * @param usable      machines that take work now
  * @param mayVacate   true when machines emptied in favour of others have had the time to be
  */
-public record ClusterSnapshot(List<Pipeline> jobs, Map<String, List<Attempt>> holding, Set<String> placeable,
-                      Map<String, Machine> machines, List<Machine> usable,
-                      Map<String, String> reserved, Set<String> warm, Map<String, MachineType> types, Settings settings,
-                      boolean mayVacate, long timeOfDay, long now) {
+public record ClusterSnapshot(
+        List<Pipeline> jobs,
+        Map<String, List<Attempt>> holding,
+        Set<String> placeable,
+        Map<String, Machine> machines,
+        List<Machine> usable,
+        Map<String, String> reserved,
+        Set<String> warm,
+        Map<String, MachineType> types,
+        Settings settings,
+        boolean mayVacate,
+        long timeOfDay,
+        long now) {
 
     /** Attempts of the job that occupy room. */
     Collection<Attempt> held(Pipeline job) {
@@ -35,7 +44,9 @@
 
     /** Cores that the jobs accepted lately have asked for: room for as much is kept free. */
     static double askedCores(Collection<Pipeline> jobs, long timeOfDay) {
-        return jobs.stream().filter(p -> p.acceptedAt() > timeOfDay - Constants.ASKED_MS)
-                .mapToDouble(p -> p.spec().cores() * p.spec().tasks()).sum();
+        return jobs.stream()
+                .filter(p -> p.acceptedAt() > timeOfDay - Constants.ASKED_MS)
+                .mapToDouble(p -> p.spec().cores() * p.spec().tasks())
+                .sum();
     }
 }
--- a/src/main/java/org/spoolline/placement/Consolidation.java
+++ b/src/main/java/org/spoolline/placement/Consolidation.java
@@ -20,8 +20,7 @@
  */
 final class Consolidation {
     /** One task with its job, on the machine that may be emptied. */
-    private record Moving(Pipeline job, Attempt attempt) {
-    }
+    private record Moving(Pipeline job, Attempt attempt) {}
 
     private final ClusterSnapshot snapshot;
     private final List<Node> nodes;
@@ -56,8 +55,8 @@
         }
         emptiest.sort(Comparator.comparingDouble(Node::usedShare).thenComparing(n -> n.machine.name()));
         List<Node> fullest = new ArrayList<>(nodes);
-        fullest.removeIf(n -> n.reservedFor() != null || n.cores() < Constants.EPSILON
-                || !on.containsKey(n.machine.name()));
+        fullest.removeIf(
+                n -> n.reservedFor() != null || n.cores() < Constants.EPSILON || !on.containsKey(n.machine.name()));
         fullest.sort(Comparator.comparingDouble(Node::usedShare).reversed().thenComparing(n -> n.machine.name()));
         Set<String> vacated = new LinkedHashSet<>();
         Set<String> receiving = new LinkedHashSet<>();
@@ -80,14 +79,19 @@
     /** At most half in use, by tasks of arrays that save, have run for a while, and are expected to go on for a while. */
     private boolean worthEmptying(Node node) {
         List<Moving> here = on.getOrDefault(node.machine.name(), List.of());
-        return !here.isEmpty() && node.usedShare() <= Constants.VACATE_SHARE && here.stream().allMatch(this::movable);
+        return !here.isEmpty()
+                && node.usedShare() <= Constants.VACATE_SHARE
+                && here.stream().allMatch(this::movable);
     }
 
     private boolean movable(Moving moving) {
         Submission spec = moving.job().spec();
         Machine machine = snapshot.machines().get(moving.attempt().machine());
         double ranS = machine.ranMs(Machine.Start.of(moving.job().uid(), moving.attempt()), snapshot.now()) / 1000.0;
-        return !spec.gang() && spec.saves() && !moving.job().cancelled() && ranS >= Constants.VACATE_RAN_S
+        return !spec.gang()
+                && spec.saves()
+                && !moving.job().cancelled()
+                && ranS >= Constants.VACATE_RAN_S
                 && spec.estimateS() - ranS >= Constants.VACATE_LEFT_S;
     }
 
@@ -97,8 +101,12 @@
             Submission spec = moving.job().spec();
             Node found = null;
             for (Node other : fullest) {
-                if (other != node && !vacated.contains(other.machine.name()) && other.openTo(moving.job())
-                        && other.fits(spec) && other.machine.hasImage(spec.image()) && !spec.spread()
+                if (other != node
+                        && !vacated.contains(other.machine.name())
+                        && other.openTo(moving.job())
+                        && other.fits(spec)
+                        && other.machine.hasImage(spec.image())
+                        && !spec.spread()
                         && (!spec.oneZone() || other.zone.equals(node.zone))) {
                     found = other;
                     break;
--- a/src/main/java/org/spoolline/placement/Node.java
+++ b/src/main/java/org/spoolline/placement/Node.java
@@ -34,7 +34,8 @@
 
     /** True when the job may use this machine, room apart. */
     boolean openTo(Pipeline job) {
-        return allows(job.spec()) && !job.avoids(machine.name())
+        return allows(job.spec())
+                && !job.avoids(machine.name())
                 && (reservedFor == null || reservedFor.equals(job.uid()));
     }
 
--- a/src/main/java/org/spoolline/placement/Placer.java
+++ b/src/main/java/org/spoolline/placement/Placer.java
@@ -22,27 +22,27 @@
     private static final String UNKNOWN_ZONE = "?";
 
     /** One task to be started. */
-    public record Placement(int task, Machine machine) {
-    }
+    public record Placement(int task, Machine machine) {}
 
     /** Tasks of a job that found no room, limited to what its team may run. */
-    public record Want(Pipeline job, int tasks, boolean withinGuarantee) {
-    }
+    public record Want(Pipeline job, int tasks, boolean withinGuarantee) {}
 
     /**
      * Machines to be cleared for a job, and the attempts that have to leave them, with the grace in seconds. For a
      * {@code warm} one the machines were chosen since they have the job's image.
      */
-    public record Clearing(String uid, Set<String> machines, Map<Machine.Start, Double> leaving, boolean warm) {
-    }
+    public record Clearing(String uid, Set<String> machines, Map<Machine.Start, Double> leaving, boolean warm) {}
 
     /**
      * What to start, what found no room, most urgent first, what to clear for it, machines that room gathers on, and
      * machines to be emptied since their work fits others.
      */
-    public record Plan(Map<String, List<Placement>> placements, List<Want> wants, List<Clearing> clearings,
-                       Set<String> gathering, Set<String> vacated) {
-    }
+    public record Plan(
+            Map<String, List<Placement>> placements,
+            List<Want> wants,
+            List<Clearing> clearings,
+            Set<String> gathering,
+            Set<String> vacated) {}
 
     private final ClusterSnapshot snapshot;
     private final List<Node> nodes = new ArrayList<>();
@@ -53,6 +53,7 @@
     private Preemption preemption;
     /** Teams whose running work has to make way for a gang that needs most of their limit. */
     private final Set<String> closed = new HashSet<>();
+
     private final Set<String> gathering = new LinkedHashSet<>();
 
     private Placer(ClusterSnapshot snapshot) {
@@ -95,7 +96,11 @@
             place(job);
         }
         boolean surplus = wants.isEmpty() && placements.isEmpty() && snapshot.mayVacate();
-        return new Plan(placements, wants, preemption.clear(wants), gathering,
+        return new Plan(
+                placements,
+                wants,
+                preemption.clear(wants),
+                gathering,
                 surplus ? Consolidation.vacated(snapshot, nodes) : Set.of());
     }
 
@@ -141,12 +146,13 @@
         boolean aged = aged(job);
         // An aged array begins with one task; with that it is in its usual place again.
         int allowed = Math.min(aged && !spec.gang() ? 1 : ready, closed.contains(spec.team()) ? 0 : headroom(spec));
-        boolean gathers = aged && spec.gang()
-                && snapshot.timeOfDay() - job.acceptedAt() < Constants.GATHER_UNTIL_MS;
+        boolean gathers = aged && spec.gang() && snapshot.timeOfDay() - job.acceptedAt() < Constants.GATHER_UNTIL_MS;
         if (gathers && allowed < ready) {
             closed.add(spec.team());
         }
-        if (allowed <= 0 || job.notBefore() > snapshot.timeOfDay() || !snapshot.placeable().contains(job.uid())) {
+        if (allowed <= 0
+                || job.notBefore() > snapshot.timeOfDay()
+                || !snapshot.placeable().contains(job.uid())) {
             return;
         }
         if (spec.gang() && allowed < ready) {
@@ -167,7 +173,8 @@
         // that loses much when the cloud takes its machine leaves the cheap ones to work that loses little.
         int spotFirst = spec.lossS() <= Constants.SPOT_LOSS_S ? 0 : 2;
         fitting.sort(Comparator.<Node>comparingInt(n -> n.fetchS(spec) < Constants.SHORT_FETCH_S ? 0 : 1)
-                .thenComparingDouble(n -> n.type.cores()).thenComparingInt(n -> n.spot ? spotFirst : 1)
+                .thenComparingDouble(n -> n.type.cores())
+                .thenComparingInt(n -> n.spot ? spotFirst : 1)
                 .thenComparingDouble(Node::cores)
                 .thenComparing(n -> n.machine.name()));
         List<Node> chosen = choose(job, fitting, allowed);
@@ -204,7 +211,8 @@
         Map<String, List<Node>> byZone = new LinkedHashMap<>();
         for (Node node : nodes) {
             if (node.openTo(job) && node.reservedFor() == null && node.type.suits(spec)) {
-                byZone.computeIfAbsent(spec.oneZone() ? node.zone : "", z -> new ArrayList<>()).add(node);
+                byZone.computeIfAbsent(spec.oneZone() ? node.zone : "", z -> new ArrayList<>())
+                        .add(node);
             }
         }
         List<Node> best = List.of();
@@ -231,11 +239,13 @@
 
     /** True when the gang had better start where its image is, on machines that are or will be cleared for it. */
     private boolean waitsForWarmPlaces(Pipeline job, List<Node> chosen) {
-        double fetchS = chosen.stream().mapToDouble(n -> n.fetchS(job.spec())).max().orElse(0);
+        double fetchS =
+                chosen.stream().mapToDouble(n -> n.fetchS(job.spec())).max().orElse(0);
         if (fetchS < Constants.SHORT_FETCH_S) {
             return false;
         }
-        return snapshot.warm().contains(job.uid()) ? snapshot.reserved().containsValue(job.uid())
+        return snapshot.warm().contains(job.uid())
+                ? snapshot.reserved().containsValue(job.uid())
                 : preemption.warm(job, fetchS);
     }
 
@@ -280,7 +290,8 @@
             if (zone != null && !zone.equals(node.zone)) {
                 continue;
             }
-            while (chosen.size() < count && node.fits(spec)
+            while (chosen.size() < count
+                    && node.fits(spec)
                     && inZone.getOrDefault(node.zone, 0) + inZone.getOrDefault(UNKNOWN_ZONE, 0) < spec.zoneLimit()) {
                 node.take(spec);
                 chosen.add(node);
@@ -306,8 +317,8 @@
         double[] use = teamUse.computeIfAbsent(spec.team(), t -> new double[2]);
         double room = Math.floor((team.coresMax() - use[0]) / spec.cores() + Constants.EPSILON);
         if (spec.accelerators() > 0) {
-            room = Math.min(room, Math.floor((team.acceleratorsMax() - use[1]) / spec.accelerators()
-                    + Constants.EPSILON));
+            room = Math.min(
+                    room, Math.floor((team.acceleratorsMax() - use[1]) / spec.accelerators() + Constants.EPSILON));
         }
         return (int) Math.max(0, Math.min(room, Integer.MAX_VALUE));
     }
--- a/src/main/java/org/spoolline/placement/Preemption.java
+++ b/src/main/java/org/spoolline/placement/Preemption.java
@@ -35,14 +35,13 @@
             Submission spec = job.spec();
             double unsavedS = spec.unsavedS(machine.ranMs(Machine.Start.of(job.uid(), attempt), now) / 1000.0);
             boolean atOnce = !spec.saves() || unsavedS <= Constants.SAVES_WORTH * spec.saveS();
-            return new Victim(job, attempt, spec.cores() * (atOnce ? unsavedS : spec.saveS()),
-                    atOnce ? 0 : spec.stopGraceS());
+            return new Victim(
+                    job, attempt, spec.cores() * (atOnce ? unsavedS : spec.saveS()), atOnce ? 0 : spec.stopGraceS());
         }
     }
 
     /** A machine with the tasks that would leave it. */
-    private record Choice(Node node, List<Victim> victims, double cost) {
-    }
+    private record Choice(Node node, List<Victim> victims, double cost) {}
 
     private final ClusterSnapshot snapshot;
     private final List<Node> nodes;
@@ -54,6 +53,7 @@
     private final Map<String, double[]> teamUse;
     /** Cores that a team uses beyond its guarantee, by team. */
     private final Map<String, Double> borrowed = new HashMap<>();
+
     private final List<Placer.Clearing> clearings = new ArrayList<>();
 
     Preemption(ClusterSnapshot snapshot, List<Node> nodes, Set<String> within, Map<String, double[]> teamUse) {
@@ -69,7 +69,8 @@
      */
     boolean warm(Pipeline job, double fetchS) {
         collect(true);
-        List<Choice> chosen = choose(job, node -> node.machine.hasImage(job.spec().image()));
+        List<Choice> chosen =
+                choose(job, node -> node.machine.hasImage(job.spec().image()));
         double lost = chosen.stream().mapToDouble(Choice::cost).sum();
         if (chosen.isEmpty() || lost >= fetchS * job.spec().cores() * job.spec().tasks()) {
             return false;
@@ -80,13 +81,16 @@
 
     /** What is to be cleared: for urgent gangs with their image at hand, as found before, and for the wants. */
     List<Placer.Clearing> clear(List<Placer.Want> wants) {
-        snapshot.settings().teams().forEach((name, team) ->
-                borrowed.put(name, teamUse.getOrDefault(name, new double[2])[0] - team.cores()));
+        snapshot.settings()
+                .teams()
+                .forEach((name, team) ->
+                        borrowed.put(name, teamUse.getOrDefault(name, new double[2])[0] - team.cores()));
         for (Placer.Want want : wants) {
             Pipeline job = want.job();
             boolean urgentGang = urgentGang(job);
             if (!urgentGang && (job.spec().gang() || !want.withinGuarantee())
-                    || snapshot.reserved().containsValue(job.uid()) || urgentGang && !job.attempts().isEmpty()) {
+                    || snapshot.reserved().containsValue(job.uid())
+                    || urgentGang && !job.attempts().isEmpty()) {
                 // A gang that lacks members only would clear as many machines as all its tasks need.
                 continue;
             }
@@ -125,14 +129,16 @@
         collected = true;
         for (Pipeline job : snapshot.jobs()) {
             // A gang would lose all its members for the room of one.
-            if (job.spec().gang() && job.spec().tasks() > 1 || job.cancelled()
+            if (job.spec().gang() && job.spec().tasks() > 1
+                    || job.cancelled()
                     || !forGangs && (!job.spec().saves() || within.contains(job.uid()))) {
                 continue;
             }
             for (Attempt a : snapshot.held(job)) {
                 Machine machine = snapshot.machines().get(a.machine());
                 if (machine != null) {
-                    victims.computeIfAbsent(a.machine(), m -> new ArrayList<>()).add(Victim.of(job, a, machine, snapshot.now()));
+                    victims.computeIfAbsent(a.machine(), m -> new ArrayList<>())
+                            .add(Victim.of(job, a, machine, snapshot.now()));
                 }
             }
         }
@@ -148,8 +154,11 @@
         for (String zone : zones) {
             List<Choice> choices = new ArrayList<>();
             for (Node node : nodes) {
-                if ((!spec.oneZone() || node.zone.equals(zone)) && node.openTo(job) && node.reservedFor() == null
-                        && !taken.contains(node.machine.name()) && among.test(node)) {
+                if ((!spec.oneZone() || node.zone.equals(zone))
+                        && node.openTo(job)
+                        && node.reservedFor() == null
+                        && !taken.contains(node.machine.name())
+                        && among.test(node)) {
                     Choice choice = choice(job, node);
                     if (choice != null) {
                         choices.add(choice);
@@ -178,13 +187,15 @@
         }
         List<Node> cheapest = new ArrayList<>();
         for (Node node : nodes) {
-            if (node.reservedFor() == null && node.openTo(job) && victims.containsKey(node.machine.name())
+            if (node.reservedFor() == null
+                    && node.openTo(job)
+                    && victims.containsKey(node.machine.name())
                     && !taken.contains(node.machine.name())) {
                 cheapest.add(node);
             }
         }
-        cheapest.sort(Comparator.comparingDouble(n -> n.fetchS(spec)
-                + lossPerCore.computeIfAbsent(n.machine.name(), this::lossPerCore)));
+        cheapest.sort(Comparator.comparingDouble(
+                n -> n.fetchS(spec) + lossPerCore.computeIfAbsent(n.machine.name(), this::lossPerCore)));
         List<Choice> choices = new ArrayList<>();
         int cleared = 0;
         for (Node node : cheapest) {
@@ -203,7 +214,8 @@
                     borrowed.merge(v.job().spec().team(), -v.job().spec().cores(), Double::sum);
                 }
             }
-            int fits = (int) Math.min(Math.floor(free.cores() / spec.cores() + Constants.EPSILON),
+            int fits = (int) Math.min(
+                    Math.floor(free.cores() / spec.cores() + Constants.EPSILON),
                     spec.memoryGb() > 0 ? Math.floor(free.memoryGb() / spec.memoryGb() + Constants.EPSILON) : tasks);
             if (!leaving.isEmpty() && fits > 0) {
                 choices.add(new Choice(node, leaving, 0));
@@ -233,8 +245,10 @@
             return false;
         }
         boolean lower = victim.spec().priority().compareTo(job.spec().priority()) < 0;
-        boolean beyond = !victim.spec().team().equals(job.spec().team()) && !within.contains(victim.uid())
-                && borrowed.getOrDefault(victim.spec().team(), 0.0) >= victim.spec().cores();
+        boolean beyond = !victim.spec().team().equals(job.spec().team())
+                && !within.contains(victim.uid())
+                && borrowed.getOrDefault(victim.spec().team(), 0.0)
+                        >= victim.spec().cores();
         return lower && !within.contains(victim.uid()) || beyond;
     }
 
--- a/src/main/java/org/spoolline/placement/SchedulingCycles.java
+++ b/src/main/java/org/spoolline/placement/SchedulingCycles.java
@@ -24,8 +24,8 @@
 import org.spoolline.settings.Constants;
 import org.spoolline.settings.Settings;
 import org.spoolline.state.StateClient;
-import org.spoolline.workers.Heartbeats;
 import org.spoolline.workers.Evidence;
+import org.spoolline.workers.Heartbeats;
 import org.spoolline.workers.Machine;
 import org.spoolline.workers.MachineTable;
 import org.spoolline.workers.TaskReport;
@@ -39,6 +39,7 @@
     public static final String JOBS = "job/";
     /** Prefix of lasting records of jobs that are over. */
     public static final String FINALS = "final/";
+
     private static final Logger LOG = LoggerFactory.getLogger(SchedulingCycles.class);
 
     private final Loop loop;
@@ -62,6 +63,7 @@
     private final Map<String, Map<Machine.Start, Double>> stops = new HashMap<>();
     /** Gang tasks whose machine has the image, while others of the gang have to fetch it. */
     private final Map<String, Set<Machine.Start>> afterMates = new HashMap<>();
+
     private final Set<String> withNews = new HashSet<>();
     /** Machines whose reports brought news since the last cycle. */
     private final Set<Machine> heard = new LinkedHashSet<>();
@@ -69,9 +71,11 @@
     private final Map<String, Set<Attempt>> unsettled = new HashMap<>();
     /** Jobs whose value has no room for more attempts, with the time until which their turn goes to others. */
     private final Map<String, Long> fullUntil = new HashMap<>();
+
     private long sweptAt;
     /** When machines were last emptied in favour of others. */
     private long vacatedAt;
+
     private final Map<String, Reservation> reservations = new LinkedHashMap<>();
     /** Gangs for which machines with their image have been cleared: once each, so that none waits for long. */
     private final Set<String> warm = new HashSet<>();
@@ -81,7 +85,8 @@
         Reservation with(String machine, long atLeastUntil) {
             Set<String> more = new LinkedHashSet<>(clearing.machines());
             more.add(machine);
-            return new Reservation(new Placer.Clearing(clearing.uid(), more, clearing.leaving(), clearing.warm()),
+            return new Reservation(
+                    new Placer.Clearing(clearing.uid(), more, clearing.leaving(), clearing.warm()),
                     Math.max(until, atLeastUntil));
         }
     }
@@ -95,8 +100,15 @@
         void written(boolean settled, Set<String> withNews);
     }
 
-    public SchedulingCycles(Loop loop, Settings settings, StateClient state, Leadership leadership, Freshness freshness,
-                  Catalog catalog, MachineTable machines, JobTable jobs) {
+    public SchedulingCycles(
+            Loop loop,
+            Settings settings,
+            StateClient state,
+            Leadership leadership,
+            Freshness freshness,
+            Catalog catalog,
+            MachineTable machines,
+            JobTable jobs) {
         this.loop = loop;
         this.settings = settings;
         this.state = state;
@@ -163,7 +175,8 @@
             freshness.completeAsOf(sent);
             if (!loaded) {
                 loaded = true;
-                LOG.info("{} live pipelines read under token {}", listing.items().size(), mine);
+                LOG.info(
+                        "{} live pipelines read under token {}", listing.items().size(), mine);
                 cycleListener.loaded();
             }
             watch(mine, listing.revision());
@@ -191,7 +204,9 @@
             if (!watched.changes().isEmpty()) {
                 requestCycle();
             }
-            later(watched.reached() ? Constants.WATCH_PAUSE_MS : Constants.RETRY_MS, mine,
+            later(
+                    watched.reached() ? Constants.WATCH_PAUSE_MS : Constants.RETRY_MS,
+                    mine,
                     () -> watch(mine, watched.revision()));
         });
     }
@@ -286,7 +301,8 @@
                 working.put(uid, entry.proposed());
                 continue;
             }
-            Collection<Attempt> due = sweep || evaluatedWhole(entry) ? entry.confirmed().attempts()
+            Collection<Attempt> due = sweep || evaluatedWhole(entry)
+                    ? entry.confirmed().attempts()
                     : unsettled.getOrDefault(uid, Set.of());
             Pipeline next = due.isEmpty() && !entry.confirmed().cancelled() ? null : tryToEvaluate(entry, due);
             working.put(uid, next == null ? entry.confirmed() : next);
@@ -305,12 +321,17 @@
             }
             withNews.addAll(clearing.machines());
             clearing.leaving().forEach(this::stop);
-            LOG.info("clearing {} for {}: {} tasks leave", clearing.machines(), clearing.uid(),
+            LOG.info(
+                    "clearing {} for {}: {} tasks leave",
+                    clearing.machines(),
+                    clearing.uid(),
                     clearing.leaving().size());
         }
         if (!plan.vacated().isEmpty()) {
             vacatedAt = loop.now();
-            LOG.info("emptying {} machines, whose tasks fit others", plan.vacated().size());
+            LOG.info(
+                    "emptying {} machines, whose tasks fit others",
+                    plan.vacated().size());
             plan.vacated().forEach(name -> machines.get(name).vacate());
         }
         plan.placements().forEach((uid, placed) -> place(uid, placed, changes));
@@ -319,7 +340,10 @@
         Set<String> coming = machinesWithWorkComing();
         coming.addAll(plan.gathering());
         reservations.values().forEach(r -> coming.addAll(r.clearing().machines()));
-        fleet.pass(plan.wants(), ClusterSnapshot.askedCores(working.values(), loop.timeOfDay()), name -> jobs.anyOn(name) || coming.contains(name));
+        fleet.pass(
+                plan.wants(),
+                ClusterSnapshot.askedCores(working.values(), loop.timeOfDay()),
+                name -> jobs.anyOn(name) || coming.contains(name));
         // Reports whose launches wait for the state budget are held on: the next regular one is seconds away.
         tell(writes.settled() && all);
     }
@@ -339,8 +363,11 @@
     private void learnImage(Machine machine, Machine.Start start) {
         TaskReport report = machine.tasks().get(start);
         JobTable.Entry entry = jobs.get(start.uid());
-        if (report != null && entry != null && report.phase() != TaskReport.Phase.FETCHING
-                && report.phase() != TaskReport.Phase.EXITED && !machine.hasImage(entry.confirmed().spec().image())) {
+        if (report != null
+                && entry != null
+                && report.phase() != TaskReport.Phase.FETCHING
+                && report.phase() != TaskReport.Phase.EXITED
+                && !machine.hasImage(entry.confirmed().spec().image())) {
             useImage(machine, entry.confirmed().spec());
         }
     }
@@ -354,22 +381,28 @@
 
     /** Gangs, and whatever is being stopped, depend on more than the reports about single attempts. */
     private boolean evaluatedWhole(JobTable.Entry entry) {
-        return entry.confirmed().spec().gang() || entry.cancelled() || stops.containsKey(entry.confirmed().uid());
+        return entry.confirmed().spec().gang()
+                || entry.cancelled()
+                || stops.containsKey(entry.confirmed().uid());
     }
 
     /** A reservation ends when its job has started or is over, or when it has led to nothing for too long. */
     private void lapseReservations() {
         reservations.values().removeIf(r -> {
             JobTable.Entry entry = jobs.get(r.clearing().uid());
-            return entry == null || entry.cancelled() || started(entry.confirmed(), r.clearing())
+            return entry == null
+                    || entry.cancelled()
+                    || started(entry.confirmed(), r.clearing())
                     || loop.now() > r.until();
         });
     }
 
     /** A gang has started once it is placed in full; an array, once nobody has to leave for it any more. */
     private boolean started(Pipeline job, Placer.Clearing clearing) {
-        return job.spec().gang() ? job.attempts().size() == job.spec().tasks() : clearing.leaving().keySet().stream()
-                .noneMatch(start -> clearing.machines().stream().anyMatch(m -> jobs.on(m).containsKey(start)));
+        return job.spec().gang()
+                ? job.attempts().size() == job.spec().tasks()
+                : clearing.leaving().keySet().stream().noneMatch(start -> clearing.machines().stream()
+                        .anyMatch(m -> jobs.on(m).containsKey(start)));
     }
 
     /** What has ended is written and told even when no plan can be made. */
@@ -412,7 +445,8 @@
             }
             Machine machine = machines.get(attempt.machine());
             Evidence.Finding finding = evidence.judge(now.uid(), attempt, machine, loop.now());
-            boolean unwanted = now.cancelled() || noticeStop(spec, machine, attempt, now)
+            boolean unwanted = now.cancelled()
+                    || noticeStop(spec, machine, attempt, now)
                     || graceOf(Machine.Start.of(now.uid(), attempt)) != null;
             if (now.cancelled() && finding.verdict() == Evidence.Verdict.ALIVE) {
                 withNews.add(attempt.machine());
@@ -426,7 +460,11 @@
                     next = next == null ? now.copy() : next;
                     next.lose(attempt);
                     gone++;
-                    LOG.debug("{}/{} attempt {} is gone with {}", now.uid(), attempt.task(), attempt.number(),
+                    LOG.debug(
+                            "{}/{} attempt {} is gone with {}",
+                            now.uid(),
+                            attempt.task(),
+                            attempt.number(),
                             attempt.machine());
                 }
                 case ABSENT -> {
@@ -435,8 +473,7 @@
                         next.lose(attempt);
                     }
                 }
-                default -> {
-                }
+                default -> {}
             }
         }
         if (gone > 0) {
@@ -469,7 +506,8 @@
         Pipeline changed = next;
         for (Attempt a : List.copyOf(result.attempts())) {
             stop(now.uid(), a, grace);
-            if (evidence.judge(now.uid(), a, machines.get(a.machine()), loop.now()).verdict()
+            if (evidence.judge(now.uid(), a, machines.get(a.machine()), loop.now())
+                            .verdict()
                     == Evidence.Verdict.ABSENT) {
                 changed = changed == null ? now.copy() : changed;
                 changed.lose(a);
@@ -534,7 +572,12 @@
             }
             case NO_ROOM, BUSY, UNKNOWN -> {
                 next.lose(attempt);
-                LOG.info("{}/{} attempt {} refused by {}: {}", uid, attempt.task(), attempt.number(), machine.name(),
+                LOG.info(
+                        "{}/{} attempt {} refused by {}: {}",
+                        uid,
+                        attempt.task(),
+                        attempt.number(),
+                        machine.name(),
                         report.cause());
                 next.pauseUntil(loop.timeOfDay() + Constants.REFUSED_START_MS);
             }
@@ -543,8 +586,14 @@
                 if (report.cause() == TaskReport.Cause.ALONE) {
                     keepPlace(next.spec(), machine);
                 }
-                LOG.debug("{}/{} attempt {} ended on {}: {}{}", uid, attempt.task(), attempt.number(),
-                        machine.name(), report.cause(), report.saved() ? ", saved" : "");
+                LOG.debug(
+                        "{}/{} attempt {} ended on {}: {}{}",
+                        uid,
+                        attempt.task(),
+                        attempt.number(),
+                        machine.name(),
+                        report.cause(),
+                        report.saved() ? ", saved" : "");
             }
         }
     }
@@ -555,10 +604,11 @@
      */
     private void keepPlace(Submission spec, Machine machine) {
         MachineType type = catalog.types().get(machine.type());
-        long until = loop.now() + Math.max(Constants.RESERVED_MS,
-                type == null ? 0 : (long) (spec.imageGb() / type.fetchGbPerS() * 1000));
-        Reservation kept = reservations.getOrDefault(spec.uid(),
-                new Reservation(new Placer.Clearing(spec.uid(), Set.of(), Map.of(), false), until));
+        long until = loop.now()
+                + Math.max(
+                        Constants.RESERVED_MS, type == null ? 0 : (long) (spec.imageGb() / type.fetchGbPerS() * 1000));
+        Reservation kept = reservations.getOrDefault(
+                spec.uid(), new Reservation(new Placer.Clearing(spec.uid(), Set.of(), Map.of(), false), until));
         reservations.put(spec.uid(), kept.with(machine.name(), until));
     }
 
@@ -580,15 +630,30 @@
         }
         List<Machine> usable = new ArrayList<>();
         for (Machine m : machines.all()) {
-            if (!m.gone() && !m.draining() && m.heard() && !m.deaf() && m.noticeS() == null
+            if (!m.gone()
+                    && !m.draining()
+                    && m.heard()
+                    && !m.deaf()
+                    && m.noticeS() == null
                     && loop.now() - m.heardAt() < settings.quietMs()) {
                 usable.add(m);
             }
         }
         Map<String, String> reserved = new HashMap<>();
         reservations.forEach((uid, r) -> r.clearing().machines().forEach(m -> reserved.put(m, uid)));
-        return new ClusterSnapshot(all, holding, placeable, machines.byName(), usable, reserved, warm, catalog.types(), settings,
-                loop.now() - vacatedAt >= Constants.VACATE_MS, loop.timeOfDay(), loop.now());
+        return new ClusterSnapshot(
+                all,
+                holding,
+                placeable,
+                machines.byName(),
+                usable,
+                reserved,
+                warm,
+                catalog.types(),
+                settings,
+                loop.now() - vacatedAt >= Constants.VACATE_MS,
+                loop.timeOfDay(),
+                loop.now());
     }
 
     /**
@@ -601,14 +666,16 @@
         }
         Reservation kept = reservations.get(job.uid());
         return job.attempts().stream()
-                .allMatch(a -> phase(Machine.Start.of(job.uid(), a), a) == TaskReport.Phase.GATHERING)
-                && (kept == null || kept.clearing().machines().stream().map(machines::get)
-                .noneMatch(m -> m != null && !m.gone() && listsEnded(m, job.uid())));
+                        .allMatch(a -> phase(Machine.Start.of(job.uid(), a), a) == TaskReport.Phase.GATHERING)
+                && (kept == null
+                        || kept.clearing().machines().stream()
+                                .map(machines::get)
+                                .noneMatch(m -> m != null && !m.gone() && listsEnded(m, job.uid())));
     }
 
     private static boolean listsEnded(Machine machine, String uid) {
-        return machine.tasks().values().stream().anyMatch(t -> t.phase() == TaskReport.Phase.EXITED
-                && t.uid().equals(uid));
+        return machine.tasks().values().stream()
+                .anyMatch(t -> t.phase() == TaskReport.Phase.EXITED && t.uid().equals(uid));
     }
 
     private void place(String uid, List<Placer.Placement> placed, Map<String, Writes.Change> changes) {
@@ -616,11 +683,14 @@
         Writes.Change change = changes.get(uid);
         Pipeline next = change == null ? entry.confirmed().copy() : change.next();
         Submission spec = next.spec();
-        long number = spec.gang() && !next.attempts().isEmpty() ? next.attempts().iterator().next().number() : next.nextAttempt();
+        long number = spec.gang() && !next.attempts().isEmpty()
+                ? next.attempts().iterator().next().number()
+                : next.nextAttempt();
         Set<Machine.Start> atHand = new HashSet<>();
         List<Attempt> added = new ArrayList<>();
         for (Placer.Placement p : placed) {
-            Attempt attempt = new Attempt(p.task(), number, p.machine().name(), p.machine().session());
+            Attempt attempt = new Attempt(
+                    p.task(), number, p.machine().name(), p.machine().session());
             next.place(attempt);
             added.add(attempt);
             if (p.machine().hasImage(spec.image())) {
@@ -686,7 +756,8 @@
         /** What was decided is not stored: the job is judged anew as a whole. */
         @Override
         public void abandoned(JobTable.Entry entry) {
-            unsettled.computeIfAbsent(entry.confirmed().uid(), u -> new HashSet<>())
+            unsettled
+                    .computeIfAbsent(entry.confirmed().uid(), u -> new HashSet<>())
                     .addAll(entry.confirmed().attempts());
         }
 
--- a/src/main/java/org/spoolline/placement/Writes.java
+++ b/src/main/java/org/spoolline/placement/Writes.java
@@ -44,12 +44,10 @@
     }
 
     /** A change with what is to be stored for it: the live value, or the lasting record of a job that is over. */
-    private record Write(Change change, ObjectNode value) {
-    }
+    private record Write(Change change, ObjectNode value) {}
 
     /** A change with its place in the order. */
-    private record Ranked(Change change, int rank, long since) {
-    }
+    private record Ranked(Change change, int rank, long since) {}
 
     /** Hears what becomes of the changes. */
     interface Listener {
@@ -123,7 +121,9 @@
             if (allowance < cost || inFlight >= Constants.TXNS_IN_FLIGHT) {
                 break;
             }
-            ObjectNode value = over ? FinalRecord.of(change.next()).encode() : change.next().encode();
+            ObjectNode value = over
+                    ? FinalRecord.of(change.next()).encode()
+                    : change.next().encode();
             int size = over ? Constants.FINAL_BYTES : Json.bytes(value).length + Constants.FRAME_BYTES;
             boolean apart = alone.contains(change.uid()) && !batch.isEmpty();
             if (apart || ops + cost > settings.state().txnOps() || bytes + size > Constants.TXN_BYTES) {
@@ -174,7 +174,8 @@
         if (waitedMs > Constants.WRITE_PATIENCE_MS) {
             return 0;
         }
-        boolean starts = next.attempts().stream().anyMatch(a -> !change.entry().confirmed().holds(a));
+        boolean starts = next.attempts().stream()
+                .anyMatch(a -> !change.entry().confirmed().holds(a));
         if (starts && next.spec().priority().compareTo(Submission.Priority.URGENT) >= 0) {
             return 1;
         }
@@ -241,7 +242,9 @@
             return;
         }
         LOG.info("a transaction of {} jobs met newer values: {}", batch.size(), failed);
-        batch.stream().filter(c -> failed.contains(SchedulingCycles.JOBS + c.uid())).forEach(c -> alone.add(c.uid()));
+        batch.stream()
+                .filter(c -> failed.contains(SchedulingCycles.JOBS + c.uid()))
+                .forEach(c -> alone.add(c.uid()));
         for (Change change : batch) {
             if (failed.contains(SchedulingCycles.JOBS + change.uid())) {
                 reread(change, mine);
@@ -269,7 +272,12 @@
             }
             abandoned(change.entry());
             if (read.item().exists()) {
-                jobs.seen(new StateClient.Change(SchedulingCycles.JOBS + uid, read.item().value(), read.item().version()), uid);
+                jobs.seen(
+                        new StateClient.Change(
+                                SchedulingCycles.JOBS + uid,
+                                read.item().value(),
+                                read.item().version()),
+                        uid);
             } else {
                 jobs.drop(uid, change.entry().version());
             }
--- a/src/main/java/org/spoolline/settings/Constants.java
+++ b/src/main/java/org/spoolline/settings/Constants.java
@@ -4,8 +4,7 @@
 
 /** Every constant of the program, with its unit and the reason for its value. */
 public final class Constants {
-    private Constants() {
-    }
+    private Constants() {}
 
     /** Bytes: the protocol's bound on a request body. */
     public static final int MAX_BODY_BYTES = 64 * 1024;
@@ -226,6 +225,7 @@
     public static final int LIST_PAGE = 500;
     /** Bytes of a transaction for one lasting record, and for the frame around one live value. */
     public static final int FINAL_BYTES = 512;
+
     public static final int FRAME_BYTES = 128;
     /** Significant digits of recorded latencies. */
     public static final int LATENCY_DIGITS = 2;
--- a/src/main/java/org/spoolline/settings/OperatorSettings.java
+++ b/src/main/java/org/spoolline/settings/OperatorSettings.java
@@ -18,8 +18,8 @@
  * @param cycleMaxMs  ms of the widest cycle of decisions
  */
 public record OperatorSettings(long idleMs, long idleSpotMs, long cycleMinMs, long cycleMaxMs) {
-    public static final OperatorSettings DEFAULTS = new OperatorSettings(Constants.IDLE_MS, Constants.IDLE_SPOT_MS,
-            Constants.CYCLE_MIN_MS, Constants.CYCLE_MAX_MS);
+    public static final OperatorSettings DEFAULTS = new OperatorSettings(
+            Constants.IDLE_MS, Constants.IDLE_SPOT_MS, Constants.CYCLE_MIN_MS, Constants.CYCLE_MAX_MS);
 
     public static OperatorSettings read(Path file) throws SettingsException {
         try {
@@ -40,13 +40,14 @@
         }
         long[] values = {DEFAULTS.idleMs, DEFAULTS.idleSpotMs, DEFAULTS.cycleMinMs, DEFAULTS.cycleMaxMs};
         for (Map.Entry<String, JsonNode> field : root.properties()) {
-            int index = switch (field.getKey()) {
-                case "idle-ms" -> 0;
-                case "idle-spot-ms" -> 1;
-                case "round-min-ms" -> 2;
-                case "round-max-ms" -> 3;
-                default -> throw new SettingsException("operator settings: unknown element " + field.getKey());
-            };
+            int index =
+                    switch (field.getKey()) {
+                        case "idle-ms" -> 0;
+                        case "idle-spot-ms" -> 1;
+                        case "round-min-ms" -> 2;
+                        case "round-max-ms" -> 3;
+                        default -> throw new SettingsException("operator settings: unknown element " + field.getKey());
+                    };
             values[index] = millis(field.getKey(), field.getValue().asText().strip());
         }
         if (values[2] > values[3]) {
--- a/src/main/java/org/spoolline/settings/Settings.java
+++ b/src/main/java/org/spoolline/settings/Settings.java
@@ -5,43 +5,62 @@
 import java.util.Map;
 
 /** The checked settings of one node, from the platform's file. */
-public record Settings(String node, String zone, String serveOn, String internalAddress, List<Peer> peers,
-                       String cloudAddress, String stateAddress, int nodes, Map<String, Team> teams,
-                       List<Objective> objectives, Workers workers, State state, Cloud cloud, Quota quota,
-                       OperatorSettings operator) {
+public record Settings(
+        String node,
+        String zone,
+        String serveOn,
+        String internalAddress,
+        List<Peer> peers,
+        String cloudAddress,
+        String stateAddress,
+        int nodes,
+        Map<String, Team> teams,
+        List<Objective> objectives,
+        Workers workers,
+        State state,
+        Cloud cloud,
+        Quota quota,
+        OperatorSettings operator) {
 
     /** Another controller. */
-    public record Peer(String node, String address) {
-    }
+    public record Peer(String node, String address) {}
 
     /** A team's guarantee and limit. */
-    public record Team(String name, double cores, double coresMax, double accelerators, double acceleratorsMax) {
-    }
+    public record Team(String name, double cores, double coresMax, double accelerators, double acceleratorsMax) {}
 
     /** What is expected of a class of jobs; {@code jobClass} is null for the guarantee. */
-    public record Objective(String kind, String jobClass, double withinS, double share) {
-    }
+    public record Objective(String kind, String jobClass, double withinS, double share) {}
 
     /** Times of the workers, in milliseconds. */
-    public record Workers(long reportMs, long leaseMs, long gangWaitMs, long gangPeerMs, long cancelMs) {
-    }
+    public record Workers(long reportMs, long leaseMs, long gangWaitMs, long gangPeerMs, long cancelMs) {}
 
     /** Limits of the state service. */
-    public record State(double requestsPerS, double writesPerS, int valueBytes, int txnOps) {
-    }
+    public record State(double requestsPerS, double writesPerS, int valueBytes, int txnOps) {}
 
     /** Limits of the cloud. */
-    public record Cloud(double requestsPerS, long listLagMs) {
-    }
+    public record Cloud(double requestsPerS, long listLagMs) {}
 
     /** Limits of this process. */
-    public record Quota(double cpuShare, double memoryMb, int sockets) {
-    }
+    public record Quota(double cpuShare, double memoryMb, int sockets) {}
 
     /** The same node with the operators' own settings. */
     public Settings with(OperatorSettings own) {
-        return new Settings(node, zone, serveOn, internalAddress, peers, cloudAddress, stateAddress, nodes, teams,
-                objectives, workers, state, cloud, quota, own);
+        return new Settings(
+                node,
+                zone,
+                serveOn,
+                internalAddress,
+                peers,
+                cloudAddress,
+                stateAddress,
+                nodes,
+                teams,
+                objectives,
+                workers,
+                state,
+                cloud,
+                quota,
+                own);
     }
 
     /**
@@ -50,8 +69,8 @@
      * one another after each restart.
      */
     public long leadershipMs() {
-        double times = Math.max(1, Math.min(Constants.LEADERSHIP_TIMES_MAX,
-                Constants.AMPLE_CPU_SHARE / quota.cpuShare()));
+        double times =
+                Math.max(1, Math.min(Constants.LEADERSHIP_TIMES_MAX, Constants.AMPLE_CPU_SHARE / quota.cpuShare()));
         return Math.min((long) (Constants.LEADERSHIP_MS * times), (workers.cancelMs() - silenceMs()) / 2);
     }
 
@@ -108,8 +127,7 @@
      * on top of its leadership time. Leadership, this and the workers' lease together stay under cancel_s.
      */
     public long keepAliveMs() {
-        return Math.max(0, workers.cancelMs() - workers.leaseMs() - leadershipMs()
-                - Constants.CANCEL_RESERVE_MS);
+        return Math.max(0, workers.cancelMs() - workers.leaseMs() - leadershipMs() - Constants.CANCEL_RESERVE_MS);
     }
 
     /** Ms after which a worker not answered has ended all its tasks, with drift and margin. */
--- a/src/main/java/org/spoolline/settings/SettingsFile.java
+++ b/src/main/java/org/spoolline/settings/SettingsFile.java
@@ -53,15 +53,20 @@
         JsonNode cluster = object(root, "", "cluster");
         Map<String, Settings.Team> teams = new LinkedHashMap<>();
         for (JsonNode t : cluster.path("teams")) {
-            Settings.Team team = new Settings.Team(text(t, "cluster.teams.", "name"),
-                    number(t, "cluster.teams.", "cpus"), number(t, "cluster.teams.", "cpus_max"),
-                    number(t, "cluster.teams.", "gpus"), number(t, "cluster.teams.", "gpus_max"));
+            Settings.Team team = new Settings.Team(
+                    text(t, "cluster.teams.", "name"),
+                    number(t, "cluster.teams.", "cpus"),
+                    number(t, "cluster.teams.", "cpus_max"),
+                    number(t, "cluster.teams.", "gpus"),
+                    number(t, "cluster.teams.", "gpus_max"));
             teams.put(team.name(), team);
         }
         List<Settings.Objective> objectives = new ArrayList<>();
         for (JsonNode o : cluster.path("objectives")) {
-            objectives.add(new Settings.Objective(text(o, "cluster.objectives.", "kind"),
-                    o.path("class").asText(null), number(o, "cluster.objectives.", "within_s"),
+            objectives.add(new Settings.Objective(
+                    text(o, "cluster.objectives.", "kind"),
+                    o.path("class").asText(null),
+                    number(o, "cluster.objectives.", "within_s"),
                     number(o, "cluster.objectives.", "share")));
         }
         JsonNode w = object(cluster, "cluster.", "workers");
@@ -70,18 +75,33 @@
         JsonNode q = object(cluster, "cluster.", "quota");
         JsonNode services = object(root, "", "services");
         String at = "cluster.workers.";
-        Settings settings = new Settings(text(root, "", "node_name"), text(root, "", "domain"),
-                address(root, "", "serve_on"), address(root, "", "internal_addr"), List.copyOf(peers),
-                address(services, "services.", "cloud"), address(services, "services.", "state"),
-                (int) number(cluster, "cluster.", "count"), teams, List.copyOf(objectives),
-                new Settings.Workers(millis(w, at, "report_s"), millis(w, at, "lease_s"),
-                        millis(w, at, "gang_wait_s"), millis(w, at, "gang_peer_s"), millis(w, at, "cancel_s")),
-                new Settings.State(positive(s, "cluster.state.", "rps"), positive(s, "cluster.state.", "write_rps"),
+        Settings settings = new Settings(
+                text(root, "", "node_name"),
+                text(root, "", "domain"),
+                address(root, "", "serve_on"),
+                address(root, "", "internal_addr"),
+                List.copyOf(peers),
+                address(services, "services.", "cloud"),
+                address(services, "services.", "state"),
+                (int) number(cluster, "cluster.", "count"),
+                teams,
+                List.copyOf(objectives),
+                new Settings.Workers(
+                        millis(w, at, "report_s"),
+                        millis(w, at, "lease_s"),
+                        millis(w, at, "gang_wait_s"),
+                        millis(w, at, "gang_peer_s"),
+                        millis(w, at, "cancel_s")),
+                new Settings.State(
+                        positive(s, "cluster.state.", "rps"),
+                        positive(s, "cluster.state.", "write_rps"),
                         (int) (positive(s, "cluster.state.", "value_kb") * 1024),
                         (int) positive(s, "cluster.state.", "txn_ops")),
                 new Settings.Cloud(positive(c, "cluster.cloud.", "rps"), millis(c, "cluster.cloud.", "list_lag_s")),
-                new Settings.Quota(number(q, "cluster.quota.", "cpu_share"), number(q, "cluster.quota.", "ram_mb"),
-                        (int) number(q, "cluster.quota.", "sockets")), OperatorSettings.DEFAULTS);
+                new Settings.Quota(
+                        number(q, "cluster.quota.", "cpu_share"), number(q, "cluster.quota.", "ram_mb"), (int)
+                                number(q, "cluster.quota.", "sockets")),
+                OperatorSettings.DEFAULTS);
         if (settings.leadershipMs() < Constants.LEADERSHIP_MIN_MS) {
             throw new SettingsException("cluster.workers.cancel_s is too short for lease_s: "
                     + "no time is left between them for leadership");
@@ -107,8 +127,8 @@
 
     private static String address(JsonNode in, String at, String name) throws SettingsException {
         String value = text(in, at, name);
-        if (!value.matches("[0-9A-Za-z_.-]+:[0-9]{1,5}") || Integer.parseInt(
-                value.substring(value.indexOf(':') + 1)) > 65535) {
+        if (!value.matches("[0-9A-Za-z_.-]+:[0-9]{1,5}")
+                || Integer.parseInt(value.substring(value.indexOf(':') + 1)) > 65535) {
             throw new SettingsException("settings field " + at + name + " is not host:port: " + value);
         }
         return value;
--- a/src/main/java/org/spoolline/state/Latencies.java
+++ b/src/main/java/org/spoolline/state/Latencies.java
@@ -27,9 +27,14 @@
             millis.recordValue(Math.min(tookMs, millis.getHighestTrackableValue()));
         }
         if (now - loggedAt >= Constants.LATENCY_LOG_MS) {
-            LOG.info("state service: {} answers, p50 {} ms, p99 {} ms, max {} ms; {} refused, {} without answer",
-                    millis.getTotalCount(), millis.getValueAtPercentile(50), millis.getValueAtPercentile(99),
-                    millis.getMaxValue(), refused, unanswered);
+            LOG.info(
+                    "state service: {} answers, p50 {} ms, p99 {} ms, max {} ms; {} refused, {} without answer",
+                    millis.getTotalCount(),
+                    millis.getValueAtPercentile(50),
+                    millis.getValueAtPercentile(99),
+                    millis.getMaxValue(),
+                    refused,
+                    unanswered);
             millis.reset();
             refused = 0;
             unanswered = 0;
--- a/src/main/java/org/spoolline/state/StateClient.java
+++ b/src/main/java/org/spoolline/state/StateClient.java
@@ -22,11 +22,16 @@
     }
 
     /** What became of a transaction. UNKNOWN: it may have been applied, or may yet be. REFUSED: it was not. */
-    public enum Fate { APPLIED, CONFLICT, REFUSED, NO_LEASE, UNKNOWN }
+    public enum Fate {
+        APPLIED,
+        CONFLICT,
+        REFUSED,
+        NO_LEASE,
+        UNKNOWN
+    }
 
     /** A transaction's answer; {@code revision} is that of an applied one. */
-    public record Outcome(Fate fate, long revision, List<String> failed) {
-    }
+    public record Outcome(Fate fate, long revision, List<String> failed) {}
 
     /** A transaction under construction. */
     public static final class Txn {
@@ -67,20 +72,16 @@
     }
 
     /** Answer to a read: {@code reached} is false when the service gave none. */
-    public record Read(boolean reached, Item item) {
-    }
+    public record Read(boolean reached, Item item) {}
 
     /** Answer to a listing. */
-    public record Listing(boolean reached, List<Item> items, long revision) {
-    }
+    public record Listing(boolean reached, List<Item> items, long revision) {}
 
     /** One change seen by a watch; a null value is a deletion. */
-    public record Change(String key, JsonNode value, long version) {
-    }
+    public record Change(String key, JsonNode value, long version) {}
 
     /** Answer to a watch; {@code tooOld} asks for a fresh listing. */
-    public record Watched(boolean reached, boolean tooOld, List<Change> changes, long revision) {
-    }
+    public record Watched(boolean reached, boolean tooOld, List<Change> changes, long revision) {}
 
     private final Loop loop;
     private final Http.Caller http;
@@ -93,6 +94,7 @@
     private final Latencies latencies;
     /** Requests that a leader keeps from users, so that polls of jobs that don't end can't keep them from ending. */
     private double forRounds;
+
     private long lastReached;
     private boolean everReached;
 
@@ -112,8 +114,9 @@
 
     /** Sets this node's share of the budget. */
     public void leading(boolean leads) {
-        double share = nodes == 1 ? 1 : leads ? Constants.LEADER_BUDGET_SHARE
-                : Math.min(Constants.FOLLOWER_BUDGET_SHARE, 1.0 / (nodes - 1));
+        double share = nodes == 1
+                ? 1
+                : leads ? Constants.LEADER_BUDGET_SHARE : Math.min(Constants.FOLLOWER_BUDGET_SHARE, 1.0 / (nodes - 1));
         forRounds = leads ? limits.requestsPerS() * Constants.ROUNDS_RESERVE : 0;
         requests.rate(limits.requestsPerS() * share, loop.now());
         changes.rate(limits.writesPerS() * share, loop.now());
@@ -128,7 +131,7 @@
     public void probe() {
         if (loop.now() - lastReached >= Constants.STATE_PROBE_MS || !everReached) {
             force(0);
-            get("token", read -> { });
+            get("token", read -> {});
         }
     }
 
@@ -156,8 +159,8 @@
     /** Changes that the budget holds right now for work that can wait; a part is kept for users' requests. */
     public int changesLeft() {
         double forUsers = limits.writesPerS() * Constants.USERS_RESERVE;
-        return (int) Math.max(0, Math.min(changes.left(loop.now()) - forUsers,
-                requests.left(loop.now()) * limits.txnOps()));
+        return (int)
+                Math.max(0, Math.min(changes.left(loop.now()) - forUsers, requests.left(loop.now()) * limits.txnOps()));
     }
 
     /** True when less than half of what the budget can hold is left. */
@@ -170,7 +173,8 @@
         send("GET", "/keys/" + key, null, Constants.STATE_TIMEOUT_MS, reply -> {
             if (reply.ok()) {
                 JsonNode body = Json.read(reply.body());
-                done.accept(new Read(true, new Item(key, body.path("v"), body.path("stamp").asLong())));
+                done.accept(new Read(
+                        true, new Item(key, body.path("v"), body.path("stamp").asLong())));
             } else if (reply.status() == 404) {
                 done.accept(new Read(true, new Item(key, null, 0)));
             } else {
@@ -186,8 +190,8 @@
 
     private void page(String prefix, String after, List<Item> items, long firstRevision, Consumer<Listing> done) {
         requests.force(1, loop.now());
-        String path = "/keys?prefix=" + prefix + (after.isEmpty() ? "" : "&after=" + after) + "&most="
-                + Constants.LIST_PAGE;
+        String path =
+                "/keys?prefix=" + prefix + (after.isEmpty() ? "" : "&after=" + after) + "&most=" + Constants.LIST_PAGE;
         send("GET", path, null, Constants.STATE_TIMEOUT_MS, reply -> {
             if (!reply.ok()) {
                 done.accept(new Listing(false, List.of(), 0));
@@ -196,7 +200,10 @@
             JsonNode body = Json.read(reply.body());
             long revision = firstRevision == 0 ? body.path("ledger").asLong() : firstRevision;
             for (JsonNode pair : body.path("pairs")) {
-                items.add(new Item(pair.path("key").asText(), pair.path("v"), pair.path("stamp").asLong()));
+                items.add(new Item(
+                        pair.path("key").asText(),
+                        pair.path("v"),
+                        pair.path("stamp").asLong()));
             }
             if (body.path("hasNext").asBoolean() && !items.isEmpty()) {
                 page(prefix, items.get(items.size() - 1).key(), items, revision, done);
@@ -211,7 +218,8 @@
         send("POST", "/commit", txn.body(), Constants.STATE_TIMEOUT_MS, reply -> {
             JsonNode body = Json.read(reply.body());
             switch (reply.status()) {
-                case 200 -> done.accept(new Outcome(Fate.APPLIED, body.path("ledger").asLong(), List.of()));
+                case 200 -> done.accept(
+                        new Outcome(Fate.APPLIED, body.path("ledger").asLong(), List.of()));
                 case 409 -> {
                     List<String> failed = new ArrayList<>();
                     body.path("failed").forEach(f -> failed.add(f.asText()));
@@ -233,28 +241,41 @@
     /** Creates a lease; 0 when it failed. */
     public void createLease(long ttlMs, Consumer<Long> done) {
         force(0);
-        send("POST", "/leases", Json.bytes(Json.object().put("ttlMs", ttlMs)), Constants.STATE_TIMEOUT_MS,
-                reply -> done.accept(reply.ok() ? Json.read(reply.body()).path("ticket").asLong() : 0L));
+        send(
+                "POST",
+                "/leases",
+                Json.bytes(Json.object().put("ttlMs", ttlMs)),
+                Constants.STATE_TIMEOUT_MS,
+                reply -> done.accept(
+                        reply.ok() ? Json.read(reply.body()).path("ticket").asLong() : 0L));
     }
 
     /** Renews a lease; the answer is the status, 0 for none. */
     public void renewLease(long lease, Consumer<Integer> done) {
         force(0);
-        send("POST", "/leases/" + lease + "/touch", Json.bytes(Json.object()), renewTimeoutMs,
+        send(
+                "POST",
+                "/leases/" + lease + "/touch",
+                Json.bytes(Json.object()),
+                renewTimeoutMs,
                 reply -> done.accept(reply.status()));
     }
 
     /** Ends a lease at once; without an answer it ends by itself. */
     public void endLease(long lease) {
         force(0);
-        send("DELETE", "/leases/" + lease, null, Constants.STATE_TIMEOUT_MS, reply -> { });
+        send("DELETE", "/leases/" + lease, null, Constants.STATE_TIMEOUT_MS, reply -> {});
     }
 
     /** Waits for changes under a prefix after a revision, for so long. */
     public void watch(String prefix, long after, long waitMs, Consumer<Watched> done) {
         requests.force(1, loop.now());
-        send("GET", "/follow?prefix=" + prefix + "&after=" + after + "&waitMs=" + waitMs, null,
-                waitMs + Constants.STATE_TIMEOUT_MS, reply -> {
+        send(
+                "GET",
+                "/follow?prefix=" + prefix + "&after=" + after + "&waitMs=" + waitMs,
+                null,
+                waitMs + Constants.STATE_TIMEOUT_MS,
+                reply -> {
                     if (!reply.ok()) {
                         done.accept(new Watched(false, reply.status() == 410, List.of(), after));
                         return;
@@ -263,10 +284,13 @@
                     List<Change> seen = new ArrayList<>();
                     for (JsonNode event : body.path("log")) {
                         boolean set = event.has("set");
-                        seen.add(new Change(event.path(set ? "set" : "remove").asText(),
-                                set ? event.path("v") : null, event.path("stamp").asLong()));
+                        seen.add(new Change(
+                                event.path(set ? "set" : "remove").asText(),
+                                set ? event.path("v") : null,
+                                event.path("stamp").asLong()));
                     }
-                    done.accept(new Watched(true, false, seen, body.path("ledger").asLong()));
+                    done.accept(
+                            new Watched(true, false, seen, body.path("ledger").asLong()));
                 });
     }
 
--- a/src/main/java/org/spoolline/workers/Evidence.java
+++ b/src/main/java/org/spoolline/workers/Evidence.java
@@ -5,11 +5,16 @@
 /** What is proven about an attempt on its machine. Everything not listed here proves nothing. */
 public final class Evidence {
     /** GONE and EXITED are proofs that it is over; ABSENT, that it is not there and no launch is on its way. */
-    public enum Verdict { ALIVE, EXITED, ABSENT, GONE, UNKNOWN }
+    public enum Verdict {
+        ALIVE,
+        EXITED,
+        ABSENT,
+        GONE,
+        UNKNOWN
+    }
 
     /** A verdict, with the task's report where there is one. */
-    public record Finding(Verdict verdict, TaskReport report) {
-    }
+    public record Finding(Verdict verdict, TaskReport report) {}
 
     private static final Finding GONE = new Finding(Verdict.GONE, null);
     private static final Finding ABSENT = new Finding(Verdict.ABSENT, null);
--- a/src/main/java/org/spoolline/workers/Heartbeats.java
+++ b/src/main/java/org/spoolline/workers/Heartbeats.java
@@ -50,12 +50,21 @@
     private final Map<String, Held> waiting = new LinkedHashMap<>();
     /** Machines to be nudged once others have answered: a nudge takes a socket, and sockets are few. */
     private final Set<String> toNudge = new LinkedHashSet<>();
+
     private int nudging;
     private boolean ready;
     private long lastHeardAt;
 
-    public Heartbeats(Loop loop, Http.Caller http, Settings settings, Leadership leadership, Freshness freshness,
-                    MachineTable machines, JobTable jobs, DesiredState desiredState, Consumer<Machine> news) {
+    public Heartbeats(
+            Loop loop,
+            Http.Caller http,
+            Settings settings,
+            Leadership leadership,
+            Freshness freshness,
+            MachineTable machines,
+            JobTable jobs,
+            DesiredState desiredState,
+            Consumer<Machine> news) {
         this.loop = loop;
         this.http = http;
         this.settings = settings;
@@ -123,8 +132,12 @@
         lastHeardAt = loop.now();
         if (first) {
             machine.busyAt(loop.now());
-            LOG.debug("first heartbeat of machine {} {} in {}, session {}", machine.name(), machine.type(),
-                    machine.zone(), machine.session());
+            LOG.debug(
+                    "first heartbeat of machine {} {} in {}, session {}",
+                    machine.name(),
+                    machine.type(),
+                    machine.zone(),
+                    machine.session());
         }
         // This answer brings it what the nudge would have it ask for.
         toNudge.remove(machine.name());
@@ -134,7 +147,8 @@
             older.answer(false);
         }
         if (!freshness.viewKnown() || (idleNewcomer(machine, first) || bringsEnds(machine)) && leadership.valid()) {
-            // Before the jobs are read, nobody here can tell whose lease may be renewed; and where room has come free, the
+            // Before the jobs are read, nobody here can tell whose lease may be renewed; and where room has come free,
+            // the
             // next task's launch is only a commit away, the next report seconds.
             waiting.put(machine.name(), held);
             loop.after(Constants.HOLD_MS, () -> release(held));
@@ -153,8 +167,8 @@
 
     private boolean bringsEnds(Machine machine) {
         Map<Machine.Start, Attempt> stored = jobs.on(machine.name());
-        return machine.tasks().entrySet().stream().anyMatch(t -> t.getValue().phase() == TaskReport.Phase.EXITED
-                && stored.containsKey(t.getKey()));
+        return machine.tasks().entrySet().stream()
+                .anyMatch(t -> t.getValue().phase() == TaskReport.Phase.EXITED && stored.containsKey(t.getKey()));
     }
 
     /** Answers held reports of machines that have launches to carry out by now; with {@code all}, every one. */
@@ -225,13 +239,17 @@
 
     private void nudge(String name) {
         Machine machine = machines.get(name);
-        if (machine == null || machine.gone() || waiting.containsKey(name) || !leadership.valid()
+        if (machine == null
+                || machine.gone()
+                || waiting.containsKey(name)
+                || !leadership.valid()
                 || machine.address().isEmpty()
                 || loop.now() - machine.nudgedAt() <= leaseMs / 2 + Constants.MARGIN_MS) {
             return;
         }
         machine.nudge(loop.now());
-        ObjectNode body = Json.object().put("baton", leadership.workerToken() + machine.nudges())
+        ObjectNode body = Json.object()
+                .put("baton", leadership.workerToken() + machine.nudges())
                 .put("shift", machine.session());
         body.putArray("orders");
         nudging++;
@@ -279,13 +297,15 @@
         }
         for (Map.Entry<Machine.Start, Attempt> e : stored.entrySet()) {
             Machine.Start start = e.getKey();
-            if (orders.size() < Constants.MAX_ORDERS && e.getValue().session() == machine.session()
-                    && !machine.tasks().containsKey(start) && grace(start, e.getValue()) == null
-                    && desiredState.mayLaunch(start) && noOtherAttempt(machine, start)) {
+            if (orders.size() < Constants.MAX_ORDERS
+                    && e.getValue().session() == machine.session()
+                    && !machine.tasks().containsKey(start)
+                    && grace(start, e.getValue()) == null
+                    && desiredState.mayLaunch(start)
+                    && noOtherAttempt(machine, start)) {
                 order(orders, "launch", start);
                 machine.launched(start);
-                LOG.debug("launch {}/{} attempt {} on {}", start.uid(), start.task(), start.attempt(),
-                        machine.name());
+                LOG.debug("launch {}/{} attempt {} on {}", start.uid(), start.task(), start.attempt(), machine.name());
             }
         }
     }
@@ -302,7 +322,12 @@
 
     private static void stop(ArrayNode orders, Machine machine, Machine.Start start, double grace) {
         order(orders, "kill", start).put("windDownS", grace);
-        LOG.debug("stop {}/{} attempt {} on {}, grace {} s", start.uid(), start.task(), start.attempt(), machine.name(),
+        LOG.debug(
+                "stop {}/{} attempt {} on {}, grace {} s",
+                start.uid(),
+                start.task(),
+                start.attempt(),
+                machine.name(),
                 grace);
     }
 
@@ -317,7 +342,9 @@
 
     private static boolean noOtherAttempt(Machine machine, Machine.Start wanted) {
         for (TaskReport t : machine.tasks().values()) {
-            if (t.task() == wanted.task() && t.uid().equals(wanted.uid()) && t.attempt() != wanted.attempt()
+            if (t.task() == wanted.task()
+                    && t.uid().equals(wanted.uid())
+                    && t.attempt() != wanted.attempt()
                     && t.phase() != TaskReport.Phase.EXITED) {
                 return false;
             }
@@ -326,7 +353,9 @@
     }
 
     private static ObjectNode order(ArrayNode orders, String verb, Machine.Start start) {
-        return orders.addObject().put("verb", verb).put("slip", start.uid() + "/" + start.task())
+        return orders.addObject()
+                .put("verb", verb)
+                .put("slip", start.uid() + "/" + start.task())
                 .put("try", start.attempt());
     }
 }
--- a/src/main/java/org/spoolline/workers/Machine.java
+++ b/src/main/java/org/spoolline/workers/Machine.java
@@ -3,7 +3,6 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import org.agrona.collections.Object2LongHashMap;
@@ -254,7 +253,11 @@
     }
 
     /** What a report brings: nothing, since it is an older one; no change but that the machine is there; news. */
-    public enum Brings { NOTHING, A_SIGN_OF_LIFE, NEWS }
+    public enum Brings {
+        NOTHING,
+        A_SIGN_OF_LIFE,
+        NEWS
+    }
 
     /**
      * Takes a report over if it is newer than what is known; late ones change nothing. A worker's highest token only
@@ -265,7 +268,9 @@
             return Brings.NOTHING;
         }
         listen(report, leaseMs, now);
-        boolean same = report.session() == session && report.token() == reportedToken && noticeS == null
+        boolean same = report.session() == session
+                && report.token() == reportedToken
+                && noticeS == null
                 && report.noticeS() == null;
         if (report.session() > session) {
             launchTicks.clear();
--- a/src/main/java/org/spoolline/workers/Report.java
+++ b/src/main/java/org/spoolline/workers/Report.java
@@ -8,8 +8,17 @@
 import org.spoolline.net.Json;
 
 /** A worker's check-in. {@code noticeS} is null, or the seconds until the cloud takes the machine. */
-public record Report(String machine, String address, String type, String zone, boolean spot, long session, long tick,
-                     long token, Double noticeS, List<TaskReport> tasks) {
+public record Report(
+        String machine,
+        String address,
+        String type,
+        String zone,
+        boolean spot,
+        long session,
+        long tick,
+        long token,
+        Double noticeS,
+        List<TaskReport> tasks) {
 
     /** Reads the wire form as it streams by, the most frequent request of all; null when it is not a check-in. */
     public static Report parse(byte[] body) {
@@ -51,8 +60,8 @@
                     case "shift" -> session = in.getValueAsLong(-1);
                     case "tick" -> tick = in.getValueAsLong(-1);
                     case "baton" -> token = in.getValueAsLong();
-                    case "recallS" -> noticeS = value == JsonToken.VALUE_NULL ? null
-                            : Double.valueOf(in.getValueAsDouble());
+                    case "recallS" -> noticeS =
+                            value == JsonToken.VALUE_NULL ? null : Double.valueOf(in.getValueAsDouble());
                     case "slips" -> {
                         while (in.nextToken() == JsonToken.START_OBJECT) {
                             TaskReport task = task();
@@ -65,7 +74,8 @@
                     default -> in.skipChildren();
                 }
             }
-            return machine.isEmpty() || session < 0 || tick < 0 || in.currentToken() != JsonToken.END_OBJECT ? null
+            return machine.isEmpty() || session < 0 || tick < 0 || in.currentToken() != JsonToken.END_OBJECT
+                    ? null
                     : new Report(machine, address, type, zone, spot, session, tick, token, noticeS, tasks);
         }
 
@@ -88,9 +98,15 @@
                 }
             }
             int slash = slip.lastIndexOf('/');
-            return slash < 0 || phase == null ? null : new TaskReport(slip.substring(0, slash),
-                    Integer.parseInt(slip.substring(slash + 1)), attempt, phase,
-                    phase == TaskReport.Phase.EXITED ? cause(why) : null, saved);
+            return slash < 0 || phase == null
+                    ? null
+                    : new TaskReport(
+                            slip.substring(0, slash),
+                            Integer.parseInt(slip.substring(slash + 1)),
+                            attempt,
+                            phase,
+                            phase == TaskReport.Phase.EXITED ? cause(why) : null,
+                            saved);
         }
     }
 
--- a/src/main/java/org/spoolline/workers/TaskReport.java
+++ b/src/main/java/org/spoolline/workers/TaskReport.java
@@ -6,8 +6,13 @@
     /** Written out, see {@link org.spoolline.pipeline.Attempt#equals}. */
     @Override
     public boolean equals(Object other) {
-        return other instanceof TaskReport t && task == t.task && attempt == t.attempt && phase == t.phase
-                && cause == t.cause && saved == t.saved && uid.equals(t.uid);
+        return other instanceof TaskReport t
+                && task == t.task
+                && attempt == t.attempt
+                && phase == t.phase
+                && cause == t.cause
+                && saved == t.saved
+                && uid.equals(t.uid);
     }
 
     @Override
@@ -16,8 +21,23 @@
     }
 
     /** What the task is doing. */
-    public enum Phase { FETCHING, GATHERING, RUNNING, SAVING, EXITED }
+    public enum Phase {
+        FETCHING,
+        GATHERING,
+        RUNNING,
+        SAVING,
+        EXITED
+    }
 
     /** Why it ended. */
-    public enum Cause { DONE, STOPPED, PEERS_GONE, ALONE, ERROR, NO_ROOM, BUSY, UNKNOWN }
+    public enum Cause {
+        DONE,
+        STOPPED,
+        PEERS_GONE,
+        ALONE,
+        ERROR,
+        NO_ROOM,
+        BUSY,
+        UNKNOWN
+    }
 }
--- a/src/test/java/org/spoolline/codec/TreeCodecTest.java
+++ b/src/test/java/org/spoolline/codec/TreeCodecTest.java
@@ -24,10 +24,19 @@
     private static final TreeCodec CBOR = new TreeCodec(new CBORFactory());
 
     @ParameterizedTest
-    @ValueSource(strings = {
-        "{\"a\":1,\"b\":[1,-2,3000000000,18446744073709551615,1.5,1e300,-0.0],\"c\":{\"d\":null,\"e\":true,\"f\":false}}",
-        "[]", "{}", "\"t\\u00e9\\n\\\"\"", "17", "null", "[[[{}]]]", "{\"a\":1,\"a\":2}", " {\"a\" : [ ] } ",
-        "{\"a\":1} trailing"})
+    @ValueSource(
+            strings = {
+                "{\"a\":1,\"b\":[1,-2,3000000000,18446744073709551615,1.5,1e300,-0.0],\"c\":{\"d\":null,\"e\":true,\"f\":false}}",
+                "[]",
+                "{}",
+                "\"t\\u00e9\\n\\\"\"",
+                "17",
+                "null",
+                "[[[{}]]]",
+                "{\"a\":1,\"a\":2}",
+                " {\"a\" : [ ] } ",
+                "{\"a\":1} trailing"
+            })
     void readsAndWritesJsonAsTheMapperDoes(String json) throws IOException {
         JsonNode expected = MAPPER.readTree(json);
         JsonNode read = JSON.read(json.getBytes(StandardCharsets.UTF_8));
@@ -49,8 +58,12 @@
 
     @Test
     void keepsBytesAndNumbersInCbor() throws IOException {
-        ObjectNode tree = JsonNodeFactory.instance.objectNode().put("body", new byte[] {0, -1, 7}).put("n", 1L << 40)
-                .put("small", 3).put("x", 0.25);
+        ObjectNode tree = JsonNodeFactory.instance
+                .objectNode()
+                .put("body", new byte[] {0, -1, 7})
+                .put("n", 1L << 40)
+                .put("small", 3)
+                .put("x", 0.25);
         tree.putNull("nothing");
         byte[] bytes = CBOR.write(tree);
         assertArrayEquals(new ObjectMapper(new CBORFactory()).writeValueAsBytes(tree), bytes);
--- a/src/test/java/org/spoolline/leadership/LeadershipTest.java
+++ b/src/test/java/org/spoolline/leadership/LeadershipTest.java
@@ -19,12 +19,24 @@
 
 /** One node's leadership with a loop that may be late and a state service that may be silent. */
 class LeadershipTest {
-    private record Timer(long at, Runnable task) {
-    }
+    private record Timer(long at, Runnable task) {}
 
-    private static final Settings SETTINGS = new Settings("n", "a", "n:1", "n:2", List.of(), "cloud:1", "state:1", 1, Map.of(),
-            List.of(), new Settings.Workers(3_000, 16_000, 30_000, 5_000, 46_000), new Settings.State(100, 100, 8_192, 12),
-            new Settings.Cloud(10, 6_000), new Settings.Quota(1, 300, 1_000), OperatorSettings.DEFAULTS);
+    private static final Settings SETTINGS = new Settings(
+            "n",
+            "a",
+            "n:1",
+            "n:2",
+            List.of(),
+            "cloud:1",
+            "state:1",
+            1,
+            Map.of(),
+            List.of(),
+            new Settings.Workers(3_000, 16_000, 30_000, 5_000, 46_000),
+            new Settings.State(100, 100, 8_192, 12),
+            new Settings.Cloud(10, 6_000),
+            new Settings.Quota(1, 300, 1_000),
+            OperatorSettings.DEFAULTS);
 
     private final List<Timer> timers = new ArrayList<>();
     private final List<String> asked = new ArrayList<>();
@@ -46,36 +58,46 @@
             timers.add(new Timer(now + delayMs, task));
         }
     };
-    private final Leadership leadership = new Leadership(loop, new SplittableRandom(1),
-            new StateClient(loop, this::state, SETTINGS), SETTINGS, new Leadership.Listener() {
+    private final Leadership leadership = new Leadership(
+            loop,
+            new SplittableRandom(1),
+            new StateClient(loop, this::state, SETTINGS),
+            SETTINGS,
+            new Leadership.Listener() {
                 @Override
-                public void elected(long token, long keyVersion) {
-                }
+                public void elected(long token, long keyVersion) {}
 
                 @Override
-                public void follows(String leader) {
-                }
+                public void follows(String leader) {}
 
                 @Override
-                public void deposed(String why) {
-                }
+                public void deposed(String why) {}
             });
 
-    private void state(String target, String method, String path, byte[] body, long timeoutMs,
-                       java.util.function.Consumer<Http.Reply> done) {
+    private void state(
+            String target,
+            String method,
+            String path,
+            byte[] body,
+            long timeoutMs,
+            java.util.function.Consumer<Http.Reply> done) {
         asked.add(path);
         if (silent) {
             loop.after(timeoutMs, () -> done.accept(Http.Reply.NONE));
         } else if (path.startsWith("/keys/")) {
             done.accept(new Http.Reply(404, new byte[0]));
         } else {
-            done.accept(new Http.Reply(200, Json.bytes(Json.object().put("ticket", 7).put("ledger", 5))));
+            done.accept(new Http.Reply(
+                    200, Json.bytes(Json.object().put("ticket", 7).put("ledger", 5))));
         }
     }
 
     private void runTo(long until) {
         while (true) {
-            Timer next = timers.stream().min(Comparator.comparingLong(Timer::at)).filter(t -> t.at() <= until).orElse(null);
+            Timer next = timers.stream()
+                    .min(Comparator.comparingLong(Timer::at))
+                    .filter(t -> t.at() <= until)
+                    .orElse(null);
             if (next == null) {
                 now = until;
                 return;
--- a/src/test/java/org/spoolline/net/GuardTest.java
+++ b/src/test/java/org/spoolline/net/GuardTest.java
@@ -15,7 +15,7 @@
 
     @Test
     void anExceptionStopsNothing() {
-        assertTrue(guard.run("a task", () -> { }));
+        assertTrue(guard.run("a task", () -> {}));
         assertFalse(guard.run("a task", () -> {
             throw new IllegalStateException("expected here");
         }));
--- a/src/test/java/org/spoolline/pipeline/CekkTest.java
+++ b/src/test/java/org/spoolline/pipeline/CekkTest.java
@@ -13,8 +13,10 @@
     }
 
     private static Cekk.State trip() {
-        return Cekk.start(new Flow.Seq(List.of(act("course"), new Flow.Fork("join", List.of(
-                new Flow.Or(List.of(act("hotel-b"), act("hotel-c"))), act("flight"))), act("approval"))));
+        return Cekk.start(new Flow.Seq(List.of(
+                act("course"),
+                new Flow.Fork("join", List.of(new Flow.Or(List.of(act("hotel-b"), act("hotel-c"))), act("flight"))),
+                act("approval"))));
     }
 
     @Test
@@ -50,8 +52,8 @@
 
     @Test
     void anEndlessClosureRegeneratesItself() {
-        Stack endless = Stack.BOTTOM.push(new Flow.OrClosure(new Flow.Or(List.of(act("x"))), Stack.BOTTOM,
-                Stack.BOTTOM, true));
+        Stack endless =
+                Stack.BOTTOM.push(new Flow.OrClosure(new Flow.Or(List.of(act("x"))), Stack.BOTTOM, Stack.BOTTOM, true));
         Cekk.State s = Cekk.start(act("x"), endless);
         for (int i = 0; i < 5; i++) {
             s = Cekk.failed(s, "x");
--- a/src/test/java/org/spoolline/pipeline/PipelineTest.java
+++ b/src/test/java/org/spoolline/pipeline/PipelineTest.java
@@ -17,11 +17,27 @@
 /** A job as one stored value. */
 class PipelineTest {
     private static ObjectNode body(int tasks) {
-        return Json.object().put("uid", "run-000001").put("lane", "train").put("desk", "vision")
-                .put("shape", "batch").put("urgency", "urgent").put("slips", tasks).put("cores", 1.5)
-                .put("accelerators", 0).put("memGb", 2).put("plate", "img").put("imageGb", 1.0)
-                .put("samePlace", false).put("scatter", false).put("standby", true).put("expectS", 60)
-                .put("bookmarkS", 0).put("stashS", 0).putNull("dueS").putNull("yard").putNull("builds");
+        return Json.object()
+                .put("uid", "run-000001")
+                .put("lane", "train")
+                .put("desk", "vision")
+                .put("shape", "batch")
+                .put("urgency", "urgent")
+                .put("slips", tasks)
+                .put("cores", 1.5)
+                .put("accelerators", 0)
+                .put("memGb", 2)
+                .put("plate", "img")
+                .put("imageGb", 1.0)
+                .put("samePlace", false)
+                .put("scatter", false)
+                .put("standby", true)
+                .put("expectS", 60)
+                .put("bookmarkS", 0)
+                .put("stashS", 0)
+                .putNull("dueS")
+                .putNull("yard")
+                .putNull("builds");
     }
 
     private static Pipeline pipeline(int tasks) throws SubmissionCodec.Malformed {
@@ -87,8 +103,8 @@
     @Test
     void machinesOfAnyNameSurviveTheStore() throws Exception {
         Pipeline p = pipeline(20);
-        List<String> names = List.of("m-000231", "m-231", "m-0231", "plain", "7", "x-99999999999999999999", "\u0663-1",
-                "m-000232");
+        List<String> names =
+                List.of("m-000231", "m-231", "m-0231", "plain", "7", "x-99999999999999999999", "\u0663-1", "m-000232");
         List<Attempt> placed = new ArrayList<>();
         for (int task = 0; task < 20; task++) {
             placed.add(new Attempt(task, 7 - task % 3, names.get(task % names.size()), 1L << 3 * task));
@@ -103,7 +119,10 @@
     /** A controller of this version takes over jobs that one of the version before has stored. */
     @Test
     void valuesOfTheVersionBeforeAreRead() throws Exception {
-        ObjectNode old = pipeline(10).encode().put("ver", Constants.PIPELINE_VERSION_BEFORE).put("n", 3);
+        ObjectNode old = pipeline(10)
+                .encode()
+                .put("ver", Constants.PIPELINE_VERSION_BEFORE)
+                .put("n", 3);
         old.putArray("on").addArray().add("m-1").add(4).add(2).add("0-2,7");
         Pipeline q = Pipeline.decode(old);
         assertEquals(4, q.attempts().size());
@@ -142,16 +161,36 @@
 
     @Test
     void malformedSubmissionsNameTheirField() {
-        for (String field : new String[] {"uid", "lane", "desk", "shape", "urgency", "slips", "cores", "memGb",
-            "plate", "imageGb", "samePlace", "scatter", "standby", "expectS", "bookmarkS", "stashS"}) {
+        for (String field : new String[] {
+            "uid",
+            "lane",
+            "desk",
+            "shape",
+            "urgency",
+            "slips",
+            "cores",
+            "memGb",
+            "plate",
+            "imageGb",
+            "samePlace",
+            "scatter",
+            "standby",
+            "expectS",
+            "bookmarkS",
+            "stashS"
+        }) {
             ObjectNode missing = body(1);
             missing.remove(field);
-            assertEquals(field, assertThrows(SubmissionCodec.Malformed.class,
-                    () -> SubmissionCodec.parse(missing)).getMessage());
+            assertEquals(
+                    field,
+                    assertThrows(SubmissionCodec.Malformed.class, () -> SubmissionCodec.parse(missing))
+                            .getMessage());
             ObjectNode wrong = body(1);
             wrong.putArray(field);
-            assertEquals(field, assertThrows(SubmissionCodec.Malformed.class,
-                    () -> SubmissionCodec.parse(wrong)).getMessage());
+            assertEquals(
+                    field,
+                    assertThrows(SubmissionCodec.Malformed.class, () -> SubmissionCodec.parse(wrong))
+                            .getMessage());
         }
         for (int slips : new int[] {0, -1, 100_001}) {
             assertThrows(SubmissionCodec.Malformed.class, () -> SubmissionCodec.parse(body(slips)));
--- a/src/test/java/org/spoolline/placement/CyclePacerTest.java
+++ b/src/test/java/org/spoolline/placement/CyclePacerTest.java
@@ -18,8 +18,7 @@
 
     /** A loop whose timers fire late by a set time. */
     private static final class LateLoop implements Loop {
-        private record Timer(long at, Runnable task) {
-        }
+        private record Timer(long at, Runnable task) {}
 
         private final List<Timer> timers = new ArrayList<>();
         private long now = 1_000;
@@ -43,7 +42,8 @@
         /** Runs timers until none is left. */
         void run() {
             while (!timers.isEmpty()) {
-                Timer next = timers.stream().min(Comparator.comparingLong(Timer::at)).orElseThrow();
+                Timer next =
+                        timers.stream().min(Comparator.comparingLong(Timer::at)).orElseThrow();
                 timers.remove(next);
                 now = Math.max(now, next.at) + lateMs;
                 next.task.run();
--- a/src/test/java/org/spoolline/placement/Fixture.java
+++ b/src/test/java/org/spoolline/placement/Fixture.java
@@ -21,6 +21,7 @@
 final class Fixture {
     /** The steady clock's time at which a plan is made. */
     static final long NOW = 160_000;
+
     private static final long LEASE_MS = 16_000;
 
     final Map<String, Machine> machines = new LinkedHashMap<>();
@@ -33,12 +34,34 @@
     }
 
     /** A job whose tasks save in 4 s; without a checkpoint interval they never do. */
-    static Pipeline job(String uid, String team, String shape, String urgency, int tasks, double cores, double checkpointS,
-                        long acceptedAt) throws SubmissionCodec.Malformed {
-        ObjectNode body = Json.object().put("uid", uid).put("lane", "any").put("desk", team).put("shape", shape)
-                .put("urgency", urgency).put("slips", tasks).put("cores", cores).put("accelerators", 0)
-                .put("memGb", 1).put("plate", "img").put("imageGb", 1).put("samePlace", false).put("scatter", false)
-                .put("standby", true).put("expectS", 200).put("bookmarkS", checkpointS).put("stashS", 4);
+    static Pipeline job(
+            String uid,
+            String team,
+            String shape,
+            String urgency,
+            int tasks,
+            double cores,
+            double checkpointS,
+            long acceptedAt)
+            throws SubmissionCodec.Malformed {
+        ObjectNode body = Json.object()
+                .put("uid", uid)
+                .put("lane", "any")
+                .put("desk", team)
+                .put("shape", shape)
+                .put("urgency", urgency)
+                .put("slips", tasks)
+                .put("cores", cores)
+                .put("accelerators", 0)
+                .put("memGb", 1)
+                .put("plate", "img")
+                .put("imageGb", 1)
+                .put("samePlace", false)
+                .put("scatter", false)
+                .put("standby", true)
+                .put("expectS", 200)
+                .put("bookmarkS", checkpointS)
+                .put("stashS", 4);
         return Pipeline.accept(SubmissionCodec.parse(body), body, acceptedAt);
     }
 
@@ -46,8 +69,20 @@
     Machine running(String name, Pipeline job, double ranS) {
         Machine machine = new Machine(name, type.name(), "a", false, 0);
         job.place(new Attempt(0, 1, name, 1));
-        machine.accept(new Report(name, name + ":9", type.name(), "a", false, 1, 1, 0, null, List.of(new TaskReport(
-                job.uid(), 0, 1, TaskReport.Phase.RUNNING, null, false))), LEASE_MS, NOW - (long) (ranS * 1000));
+        machine.accept(
+                new Report(
+                        name,
+                        name + ":9",
+                        type.name(),
+                        "a",
+                        false,
+                        1,
+                        1,
+                        0,
+                        null,
+                        List.of(new TaskReport(job.uid(), 0, 1, TaskReport.Phase.RUNNING, null, false))),
+                LEASE_MS,
+                NOW - (long) (ranS * 1000));
         machines.put(name, machine);
         jobs.add(job);
         return machine;
@@ -55,7 +90,18 @@
 
     /** The plan a minute after the start of the day. */
     Placer.Plan plan(Set<String> placeable, boolean mayVacate) {
-        return Placer.plan(new ClusterSnapshot(jobs, Map.of(), placeable, machines, List.copyOf(machines.values()), Map.of(),
-                Set.of(), Map.of(type.name(), type), settings, mayVacate, World.START_OF_DAY + 60_000, NOW));
+        return Placer.plan(new ClusterSnapshot(
+                jobs,
+                Map.of(),
+                placeable,
+                machines,
+                List.copyOf(machines.values()),
+                Map.of(),
+                Set.of(),
+                Map.of(type.name(), type),
+                settings,
+                mayVacate,
+                World.START_OF_DAY + 60_000,
+                NOW));
     }
 }
--- a/src/test/java/org/spoolline/placement/PreemptionTest.java
+++ b/src/test/java/org/spoolline/placement/PreemptionTest.java
@@ -51,6 +51,8 @@
         filled("m", 40);
         filled("n", 31);
         filled("o", 42);
-        assertEquals(Set.of("n"), clearingFor(job("run-000009", "blue", "batch", "standard", 0)).machines());
+        assertEquals(
+                Set.of("n"),
+                clearingFor(job("run-000009", "blue", "batch", "standard", 0)).machines());
     }
 }
--- a/src/test/java/org/spoolline/settings/SettingsFileTest.java
+++ b/src/test/java/org/spoolline/settings/SettingsFileTest.java
@@ -9,7 +9,8 @@
 
 /** The platform's file, checked. */
 class SettingsFileTest {
-    private static final String FINE = """
+    private static final String FINE =
+            """
             node_name = "n0"
             domain = "a"
             serve_on = "10.0.0.1:8080"
@@ -47,7 +48,8 @@
             """;
 
     private static String refusal(String toml) {
-        return assertThrows(SettingsException.class, () -> SettingsFile.parse(toml)).getMessage();
+        return assertThrows(SettingsException.class, () -> SettingsFile.parse(toml))
+                .getMessage();
     }
 
     /** Bounds that were fixed for the first deployments once did not grow with the machines. */
@@ -59,15 +61,18 @@
         assertEquals(2500, large.backlog());
         assertTrue(small.nudgesAtOnce() + small.idleConnections() < 100 / 2);
         assertTrue(large.nudgesAtOnce() + large.idleConnections() < 2500 / 5);
-        assertTrue(large.quietMs() > 4_000 * 2.5 && large.quietMs() < large.workers().leaseMs());
+        assertTrue(large.quietMs() > 4_000 * 2.5
+                && large.quietMs() < large.workers().leaseMs());
         assertTrue(large.deafMs() > 4_000 * 2 && small.deafMs() < large.deafMs());
     }
 
     @Test
     void settingsTooSmallToServeInAreNamedAndNotRefused() throws Exception {
         assertEquals(0, SettingsFile.parse(FINE).shortages().size());
-        String shortages = SettingsFile.parse(FINE.replace("sockets = 2500", "sockets = 20")
-                .replace("ram_mb = 320.0", "ram_mb = 64.0")).shortages().toString();
+        String shortages = SettingsFile.parse(
+                        FINE.replace("sockets = 2500", "sockets = 20").replace("ram_mb = 320.0", "ram_mb = 64.0"))
+                .shortages()
+                .toString();
         assertTrue(shortages.contains("sockets is 20") && shortages.contains("ram_mb is 64"), shortages);
     }
 
@@ -85,7 +90,8 @@
         assertTrue(refusal(FINE.replace("\"10.0.0.1:8080\"", "\"nowhere\"")).contains("serve_on"));
         assertTrue(refusal("node_name = ").contains("TOML"));
         assertTrue(assertThrows(SettingsException.class, () -> SettingsFile.read(Path.of("no-such-file")))
-                .getMessage().contains("no-such-file"));
+                .getMessage()
+                .contains("no-such-file"));
     }
 
     /** A cut-off leader, its keep-alive and the workers' lease must all end before a cancellation's bound. */
@@ -95,7 +101,9 @@
             for (double share : new double[] {0, 0.04, 0.09, 0.34}) {
                 Settings s = SettingsFile.parse(FINE.replace("lease_s = 18.0", "lease_s = " + lease)
                         .replace("cpu_share = 0.34", "cpu_share = " + share));
-                assertTrue(s.leadershipMs() + s.keepAliveMs() + s.silenceMs() < s.workers().cancelMs(),
+                assertTrue(
+                        s.leadershipMs() + s.keepAliveMs() + s.silenceMs()
+                                < s.workers().cancelMs(),
                         "lease " + lease + ", share " + share);
             }
         }
@@ -106,7 +114,10 @@
     @Test
     void leadershipLastsLongerOnASmallShareOfACore() throws Exception {
         assertEquals(5_000, SettingsFile.parse(FINE).leadershipMs());
-        assertEquals(10_000, SettingsFile.parse(FINE.replace("cpu_share = 0.34", "cpu_share = 0.041")).leadershipMs());
+        assertEquals(
+                10_000,
+                SettingsFile.parse(FINE.replace("cpu_share = 0.34", "cpu_share = 0.041"))
+                        .leadershipMs());
     }
 
     @Test
@@ -114,11 +125,17 @@
         OperatorSettings own = OperatorSettings.parse("<operator><idle-ms>9000</idle-ms></operator>");
         assertEquals(9_000, own.idleMs());
         assertEquals(OperatorSettings.DEFAULTS.cycleMaxMs(), own.cycleMaxMs());
-        for (String[] bad : new String[][] {{"<operator><idle-ms>soon</idle-ms></operator>", "idle-ms"},
-            {"<operator><lease>1</lease></operator>", "lease"}, {"<operator><idle-ms>", "XML"},
-            {"<operator><round-min-ms>900</round-min-ms></operator>", "round-min-ms"}}) {
-            assertTrue(assertThrows(SettingsException.class, () -> OperatorSettings.parse(bad[0])).getMessage()
-                    .contains(bad[1]), bad[1]);
+        for (String[] bad : new String[][] {
+            {"<operator><idle-ms>soon</idle-ms></operator>", "idle-ms"},
+            {"<operator><lease>1</lease></operator>", "lease"},
+            {"<operator><idle-ms>", "XML"},
+            {"<operator><round-min-ms>900</round-min-ms></operator>", "round-min-ms"}
+        }) {
+            assertTrue(
+                    assertThrows(SettingsException.class, () -> OperatorSettings.parse(bad[0]))
+                            .getMessage()
+                            .contains(bad[1]),
+                    bad[1]);
         }
     }
 }
--- a/src/test/java/org/spoolline/workers/EvidenceTest.java
+++ b/src/test/java/org/spoolline/workers/EvidenceTest.java
@@ -17,8 +17,10 @@
     private final Machine machine = new Machine("m", "small", "a", false, 0);
 
     private Machine.Brings hears(long session, long tick, long token, TaskReport... tasks) {
-        return machine.accept(new Report("m", "m:9", "small", "a", false, session, tick, token, null, List.of(tasks)),
-                LEASE_MS, 1_000);
+        return machine.accept(
+                new Report("m", "m:9", "small", "a", false, session, tick, token, null, List.of(tasks)),
+                LEASE_MS,
+                1_000);
     }
 
     private Evidence.Verdict verdict() {
@@ -54,9 +56,13 @@
         machine.answered(PRESENT, 1_000);
         hears(1, 2, 0);
         Attempt before = new Attempt(4, 1, "m", 2);
-        assertEquals(Evidence.Verdict.UNKNOWN, evidence.judge("run-000011", before, machine, 2_000).verdict());
+        assertEquals(
+                Evidence.Verdict.UNKNOWN,
+                evidence.judge("run-000011", before, machine, 2_000).verdict());
         hears(1, 3, PRESENT);
-        assertEquals(Evidence.Verdict.GONE, evidence.judge("run-000011", before, machine, 2_000).verdict());
+        assertEquals(
+                Evidence.Verdict.GONE,
+                evidence.judge("run-000011", before, machine, 2_000).verdict());
     }
 
     @Test
--- a/src/test/java/org/spoolline/world/ConcurrentFailuresTest.java
+++ b/src/test/java/org/spoolline/world/ConcurrentFailuresTest.java
@@ -62,8 +62,10 @@
                 world.at(i * 10_000L + world.random.nextInt(6_000), () -> cancelSome(world, 5));
             }
             world.at(50_000, () -> world.state.outage(15));
-            world.at(125_000, () -> assertTrue(world.state.value("token").path("n").asLong() >= before + 9,
-                    "leaders changed too seldom"));
+            world.at(
+                    125_000,
+                    () -> assertTrue(
+                            world.state.value("token").path("n").asLong() >= before + 9, "leaders changed too seldom"));
         });
     }
 
@@ -93,12 +95,18 @@
                 jobs.add(longJob(world, "red", 8, 2));
             }
             world.run(40);
-            double red = up(world).stream().flatMap(w -> w.tasks().stream()).filter(FakeWorker.Task::alive).count() * 2.0;
+            double red = up(world).stream()
+                            .flatMap(w -> w.tasks().stream())
+                            .filter(FakeWorker.Task::alive)
+                            .count()
+                    * 2.0;
             assertEquals(32, red, "seed " + seed + ": the team is not at its limit");
             world.crashFor(leader(world), 7);
             for (FakeWorker worker : up(world).subList(0, 2)) {
                 cutFromNodes(world, worker.name, "", World.Cut.HOLD);
-                world.at(11_000 + world.random.nextInt(14_000), () -> cutFromNodes(world, worker.name, "", World.Cut.NONE));
+                world.at(
+                        11_000 + world.random.nextInt(14_000),
+                        () -> cutFromNodes(world, worker.name, "", World.Cut.NONE));
             }
             world.at(world.random.nextInt(12_000), () -> world.users.cancel(jobs.get(0)));
             world.at(world.random.nextInt(12_000), () -> world.users.cancel(jobs.get(1)));
@@ -147,7 +155,10 @@
             World world = new World(seed);
             world.run(3);
             world.users.submit(world.users.job("blue", "batch", 10, 4, 30).with("samePlace", true));
-            world.users.submit(world.users.job("red", "group", 4, 4, 40).with("samePlace", true).with("bookmarkS", 5.0)
+            world.users.submit(world.users
+                    .job("red", "group", 4, 4, 40)
+                    .with("samePlace", true)
+                    .with("bookmarkS", 5.0)
                     .with("stashS", 1.0));
             world.users.submit(world.users.job("blue", "batch", 6, 4, 30).with("yard", "b"));
             world.users.submit(world.users.job("blue", "group", 5, 2, 40).with("scatter", true));
@@ -206,7 +217,8 @@
             world.run(3);
             List<Users.Job> jobs = new ArrayList<>();
             for (int i = 0; i < 6; i++) {
-                jobs.add(world.users.submit(world.users.job(i % 2 == 0 ? "blue" : "red", "batch", 2 + i % 2, 2, 8 + i)
+                jobs.add(world.users.submit(world.users
+                        .job(i % 2 == 0 ? "blue" : "red", "batch", 2 + i % 2, 2, 8 + i)
                         .endingApart(14_000)));
             }
             for (int i = 0; i < 60 && !halfWay(world, jobs); i++) {
@@ -237,7 +249,8 @@
                     FakeWorker worker = busy(world);
                     NODES.forEach(n -> world.cutOneWay(n, worker.name, World.Cut.HOLD));
                     long seconds = 2 + world.random.nextInt(6);
-                    world.at(seconds * 1_000, () -> NODES.forEach(n -> world.cutOneWay(n, worker.name, World.Cut.NONE)));
+                    world.at(
+                            seconds * 1_000, () -> NODES.forEach(n -> world.cutOneWay(n, worker.name, World.Cut.NONE)));
                     busy(world).hang(seconds);
                     world.at(1_000, () -> cancelSome(world, 6));
                 });
@@ -262,8 +275,8 @@
             NODES.forEach(n -> world.slow(n, true));
             world.slow("state", true);
             for (int i = 0; i < 16; i++) {
-                world.users.submit(jobOf(world, i).with("urgency", i % 3 == 0 ? "urgent" : i % 3 == 1 ? "standard"
-                        : "best_effort"));
+                world.users.submit(jobOf(world, i)
+                        .with("urgency", i % 3 == 0 ? "urgent" : i % 3 == 1 ? "standard" : "best_effort"));
             }
             world.at(20_000, () -> cancelSome(world, 4));
             world.at(60_000, () -> world.crashFor(leader(world), 5));
@@ -282,9 +295,14 @@
                 longJob(world, "blue", 8, 2);
                 longJob(world, "red", 4, 2);
                 world.at(14_000, () -> {
-                    String inside = leaderInside ? leader(world)
-                            : NODES.stream().filter(n -> !n.equals(leader(world))).findFirst().orElseThrow();
-                    List<FakeWorker> zone = up(world).stream().filter(w -> w.zone.equals("a")).toList();
+                    String inside = leaderInside
+                            ? leader(world)
+                            : NODES.stream()
+                                    .filter(n -> !n.equals(leader(world)))
+                                    .findFirst()
+                                    .orElseThrow();
+                    List<FakeWorker> zone =
+                            up(world).stream().filter(w -> w.zone.equals("a")).toList();
                     cutFromNodes(world, inside, "", World.Cut.HOLD);
                     for (String other : List.of("state", "cloud", "users")) {
                         world.cut(inside, other, World.Cut.HOLD);
@@ -350,7 +368,8 @@
         day(420, world -> {
             longJob(world, "blue", 8, 2);
             world.at(14_000, () -> {
-                List<FakeWorker> some = up(world).subList(0, Math.max(1, up(world).size() / 2));
+                List<FakeWorker> some =
+                        up(world).subList(0, Math.max(1, up(world).size() / 2));
                 some.forEach(w -> world.mute(w.name, 30));
                 world.at(1_000, () -> cancelSome(world, 2));
                 world.at(9_000, () -> world.crashFor(leader(world), 5));
@@ -364,13 +383,18 @@
             longJob(world, "blue", 8, 2);
             longJob(world, "red", 4, 2);
             world.at(14_000, () -> {
-                String next = NODES.stream().filter(n -> !n.equals(leader(world))).findFirst().orElseThrow();
+                String next = NODES.stream()
+                        .filter(n -> !n.equals(leader(world)))
+                        .findFirst()
+                        .orElseThrow();
                 // What workers send there now arrives once it leads, with copies of what they say meanwhile.
                 world.cutOneWay(World.WORKERS, next, World.Cut.HOLD);
                 world.copyReports(40_000);
                 world.crashFor(leader(world), 9);
                 world.at(3_000, () -> busy(world).hang(20));
-                world.at(12_000 + world.random.nextInt(12_000), () -> world.cutOneWay(World.WORKERS, next, World.Cut.NONE));
+                world.at(
+                        12_000 + world.random.nextInt(12_000),
+                        () -> world.cutOneWay(World.WORKERS, next, World.Cut.NONE));
                 world.at(7_000, () -> cancelSome(world, 3));
                 world.at(45_000, () -> world.copyReports(0));
             });
@@ -422,7 +446,10 @@
             }
             world.run(40);
             jobs.forEach(j -> world.at(world.random.nextInt(200), () -> world.users.cancel(j)));
-            List<FakeWorker> hung = up(world).stream().filter(w -> !w.tasks().isEmpty()).limit(8).toList();
+            List<FakeWorker> hung = up(world).stream()
+                    .filter(w -> !w.tasks().isEmpty())
+                    .limit(8)
+                    .toList();
             assertFalse(hung.isEmpty());
             int hangS = 4 + world.random.nextInt(30);
             world.at(world.random.nextInt(400), () -> hung.forEach(w -> w.hang(hangS)));
@@ -439,8 +466,23 @@
         world.run(6);
         Users.Job good = world.users.submit(world.users.job("blue", "batch", 2, 1, 20));
         List<Users.Job> odd = new ArrayList<>();
-        for (String field : List.of("lane", "desk", "shape", "urgency", "slips", "cores", "accelerators", "memGb", "plate",
-                "imageGb", "samePlace", "scatter", "standby", "expectS", "bookmarkS", "stashS")) {
+        for (String field : List.of(
+                "lane",
+                "desk",
+                "shape",
+                "urgency",
+                "slips",
+                "cores",
+                "accelerators",
+                "memGb",
+                "plate",
+                "imageGb",
+                "samePlace",
+                "scatter",
+                "standby",
+                "expectS",
+                "bookmarkS",
+                "stashS")) {
             odd.add(world.users.job("blue", "batch", 1, 1, 5).without(field));
         }
         odd.add(world.users.job("blue", "batch", 1, 1, 5).with("cores", "2"));
@@ -451,10 +493,15 @@
         odd.add(world.users.job("blue", "batch", 1, 1, 5).with("memGb", 1_000));
         odd.add(world.users.job("blue", "batch", 1, 1, 5).with("accelerators", 1));
         odd.add(world.users.job("blue", "batch", 1, 1, 5).with("yard", "nowhere"));
-        odd.add(world.users.job("blue", "batch", 1, 1, 5).with("builds", Json.array().add("unheard-of")));
+        odd.add(world.users
+                .job("blue", "batch", 1, 1, 5)
+                .with("builds", Json.array().add("unheard-of")));
         odd.add(world.users.job("nobody", "batch", 1, 1, 5));
         odd.add(world.users.job("red", "group", 5, 8, 5));
-        odd.add(world.users.job("blue", "group", 3, 1, 5).with("samePlace", true).with("scatter", true));
+        odd.add(world.users
+                .job("blue", "group", 3, 1, 5)
+                .with("samePlace", true)
+                .with("scatter", true));
         odd.add(world.users.job("blue", "group", 3, 1, 5).with("yard", "a").with("scatter", true));
         odd.forEach(j -> world.users.submit(j.odd()));
         world.run(12);
--- a/src/test/java/org/spoolline/world/Days.java
+++ b/src/test/java/org/spoolline/world/Days.java
@@ -8,8 +8,7 @@
 
 /** What the stories share: a mixed load, its machines and its leader. */
 final class Days {
-    private Days() {
-    }
+    private Days() {}
 
     static final int SEEDS = Integer.getInteger("stories.seeds", 4);
 
@@ -36,7 +35,8 @@
             world.rules.dayIsOver();
             assertEquals(List.of(), world.rules.broken(), "seed " + seed);
             for (Users.Job job : jobs) {
-                assertTrue(job.status().equals("done") || job.status().equals("aborted"),
+                assertTrue(
+                        job.status().equals("done") || job.status().equals("aborted"),
                         "seed " + seed + ": " + job.uid() + " is " + job.status());
             }
             assertTrue(world.rules.starts() > 0);
@@ -56,7 +56,10 @@
         return switch (n % 4) {
             case 0 -> world.users.job("blue", "batch", 12, 1, 15);
             case 1 -> world.users.job("red", "group", 2, 7, 20).with("samePlace", true);
-            case 2 -> world.users.job("red", "batch", 5, 2, 25).with("bookmarkS", 5.0).with("stashS", 1.0);
+            case 2 -> world.users
+                    .job("red", "batch", 5, 2, 25)
+                    .with("bookmarkS", 5.0)
+                    .with("stashS", 1.0);
             default -> world.users.job("blue", "batch", 7, 2, 10).with("scatter", true);
         };
     }
@@ -66,7 +69,9 @@
     }
 
     static FakeWorker busy(World world) {
-        return world.workers().values().stream().filter(w -> !w.dead() && !w.tasks().isEmpty()).findFirst()
+        return world.workers().values().stream()
+                .filter(w -> !w.dead() && !w.tasks().isEmpty())
+                .findFirst()
                 .orElseGet(() -> world.workers().values().iterator().next());
     }
 }
--- a/src/test/java/org/spoolline/world/FakeCloud.java
+++ b/src/test/java/org/spoolline/world/FakeCloud.java
@@ -16,8 +16,7 @@
 public final class FakeCloud {
     private static final long LAG_MS = 6_000;
 
-    private record Rented(String name, String type, String zone, boolean spot, long at) {
-    }
+    private record Rented(String name, String type, String zone, boolean spot, long at) {}
 
     private final World world;
     private final Map<String, Rented> rented = new LinkedHashMap<>();
@@ -27,6 +26,7 @@
     private boolean out;
     /** Machines of one type, zone and kind at most. */
     public int capacity = 6;
+
     public double bootS = 10;
     /** Machines that never come up: the next so many. */
     public int neverUp;
@@ -77,9 +77,16 @@
     }
 
     private static ObjectNode type(String name, int cores, double price, double spotPrice) {
-        ObjectNode type = Json.object().put("name", name).put("cores", cores).put("accelerators", 0)
-                .put("memGb", 64).put("cacheGb", 20).put("pullGbPerS", 1.0).put("rate", price)
-                .put("spotPrice", spotPrice).put("startupS", 10);
+        ObjectNode type = Json.object()
+                .put("name", name)
+                .put("cores", cores)
+                .put("accelerators", 0)
+                .put("memGb", 64)
+                .put("cacheGb", 20)
+                .put("pullGbPerS", 1.0)
+                .put("rate", price)
+                .put("spotPrice", spotPrice)
+                .put("startupS", 10);
         type.putArray("yards").add("a").add("b");
         return type;
     }
@@ -93,8 +100,9 @@
             String zone = body.path("yard").asText();
             boolean spot = body.path("standby").asBoolean();
             for (int i = 0; i < body.path("count").asInt(); i++) {
-                long held = rented.values().stream().filter(r -> r.type().equals(type) && r.zone().equals(zone)
-                        && r.spot() == spot).count();
+                long held = rented.values().stream()
+                        .filter(r -> r.type().equals(type) && r.zone().equals(zone) && r.spot() == spot)
+                        .count();
                 if (held >= capacity) {
                     break;
                 }
@@ -150,12 +158,18 @@
         }
         String after = path.replaceAll(".*after=([^&]*).*", "$1");
         int most = Integer.parseInt(path.replaceAll(".*most=(\\d+).*", "$1"));
-        List<Rented> rest = then.stream().filter(r -> r.name().compareTo(after) > 0).toList();
+        List<Rented> rest =
+                then.stream().filter(r -> r.name().compareTo(after) > 0).toList();
         ObjectNode body = Json.object().put("hasNext", rest.size() > most);
         ArrayNode machines = body.putArray("spoolers");
         for (Rented r : rest.subList(0, Math.min(most, rest.size()))) {
-            machines.addObject().put("uid", r.name()).put("addr", r.name() + ":9").put("build", r.type())
-                    .put("yard", r.zone()).put("standby", r.spot()).put("status", "running")
+            machines.addObject()
+                    .put("uid", r.name())
+                    .put("addr", r.name() + ":9")
+                    .put("build", r.type())
+                    .put("yard", r.zone())
+                    .put("standby", r.spot())
+                    .put("status", "running")
                     .put("heldS", (at - r.at()) / 1000.0);
         }
         reply.accept(Http.Response.of(200, Json.bytes(body)));
--- a/src/test/java/org/spoolline/world/FakeState.java
+++ b/src/test/java/org/spoolline/world/FakeState.java
@@ -17,14 +17,11 @@
 
 /** The state service by PROTOCOL, as far as its users go. */
 public final class FakeState {
-    private record Value(JsonNode json, long stamp, long lease) {
-    }
+    private record Value(JsonNode json, long stamp, long lease) {}
 
-    private record Logged(long revision, String key, JsonNode value) {
-    }
+    private record Logged(long revision, String key, JsonNode value) {}
 
-    private record Watch(String from, String prefix, long after, Consumer<Http.Response> answer, boolean[] over) {
-    }
+    private record Watch(String from, String prefix, long after, Consumer<Http.Response> answer, boolean[] over) {}
 
     private final World world;
     private final TreeMap<String, Value> values = new TreeMap<>();
@@ -37,16 +34,19 @@
     private boolean out;
     /** Hosts that alone are refused, and hosts whose watches' answers are lost. */
     private final Set<String> refused = new HashSet<>();
+
     private final Set<String> watchless = new HashSet<>();
     private boolean listless;
     private double lateShare;
     /** Transactions that were carried out late, and those of them whose conditions held even then. */
     int late;
+
     int lateApplied;
     /** Commits whose answer is lost although they are applied: the next so many. */
     public int answersToLose;
     /** Commits that are applied so late that the caller has long given up: the next so many, this many ms late. */
     public int commitsToDelay;
+
     public long delayMs = 5_000;
 
     FakeState(World world) {
@@ -136,13 +136,15 @@
             JsonNode body = Json.read(request.body());
             if (commitsToDelay > 0) {
                 commitsToDelay--;
-                world.at(delayMs, () -> commit(body, r -> { }));
+                world.at(delayMs, () -> commit(body, r -> {}));
             } else if (lateShare > 0 && world.random.nextDouble() < lateShare) {
                 late++;
-                world.at(2_000 + world.random.nextInt(10_000), () -> commit(body, r -> lateApplied += r.status() == 200 ? 1 : 0));
+                world.at(
+                        2_000 + world.random.nextInt(10_000),
+                        () -> commit(body, r -> lateApplied += r.status() == 200 ? 1 : 0));
             } else if (answersToLose > 0) {
                 answersToLose--;
-                commit(body, r -> { });
+                commit(body, r -> {});
             } else {
                 commit(body, reply);
             }
@@ -184,13 +186,16 @@
         ArrayNode pairs = body.putArray("pairs");
         boolean more = false;
         int most = Integer.parseInt(query.getOrDefault("most", "1000"));
-        for (Map.Entry<String, Value> e : values.tailMap(query.getOrDefault("after", ""), false).entrySet()) {
+        for (Map.Entry<String, Value> e :
+                values.tailMap(query.getOrDefault("after", ""), false).entrySet()) {
             if (e.getKey().startsWith(query.get("prefix"))) {
                 if (pairs.size() == most) {
                     more = true;
                     break;
                 }
-                pairs.addObject().put("key", e.getKey()).put("stamp", e.getValue().stamp())
+                pairs.addObject()
+                        .put("key", e.getKey())
+                        .put("stamp", e.getValue().stamp())
                         .set("v", e.getValue().json());
             }
         }
@@ -200,7 +205,8 @@
 
     private void commit(JsonNode body, Consumer<Http.Response> reply) {
         for (JsonNode write : body.path("writes")) {
-            if (write.has("ticket") && !leaseEnds.containsKey(write.path("ticket").asLong())) {
+            if (write.has("ticket")
+                    && !leaseEnds.containsKey(write.path("ticket").asLong())) {
                 answer(reply, 400, Json.object().put("error", "no such lease"));
                 return;
             }
@@ -222,7 +228,10 @@
             revision++;
             for (JsonNode write : body.path("writes")) {
                 if (write.has("set")) {
-                    set(write.path("set").asText(), write.path("v"), write.path("ticket").asLong());
+                    set(
+                            write.path("set").asText(),
+                            write.path("v"),
+                            write.path("ticket").asLong());
                 } else {
                     remove(write.path("remove").asText());
                 }
--- a/src/test/java/org/spoolline/world/FakeWorker.java
+++ b/src/test/java/org/spoolline/world/FakeWorker.java
@@ -80,6 +80,7 @@
     private long lastSent = -10_000;
     /** Every start fails here. */
     public boolean sick;
+
     private Double noticeS;
 
     FakeWorker(World world, String name, String type, String zone, boolean spot) {
@@ -141,14 +142,19 @@
 
     /** Cores that no task holds, not even one that waits for its image. */
     double free() {
-        return FakeCloud.cores(type) - tasks.values().stream().filter(Task::alive).mapToDouble(t -> world.users.cores(t.uid))
-                .sum();
+        return FakeCloud.cores(type)
+                - tasks.values().stream()
+                        .filter(Task::alive)
+                        .mapToDouble(t -> world.users.cores(t.uid))
+                        .sum();
     }
 
     /** True when a task of the job may run on this machine, as far as its kind and place go. */
     boolean suits(Users.Job job) {
-        return (job.zone() == null || job.zone().equals(zone)) && (job.type() == null || job.type().equals(type))
-                && (job.spot() || !spot) && job.cores() <= FakeCloud.cores(type);
+        return (job.zone() == null || job.zone().equals(zone))
+                && (job.type() == null || job.type().equals(type))
+                && (job.spot() || !spot)
+                && job.cores() <= FakeCloud.cores(type);
     }
 
     List<Task> tasks() {
@@ -209,14 +215,24 @@
         lastSent = world.now();
         long sent = world.now();
         long sentShift = shift;
-        ObjectNode body = Json.object().put("spooler", name).put("addr", name + ":9").put("build", type)
-                .put("yard", zone).put("standby", spot).put("shift", shift).put("tick", ++tick).put("baton", baton);
+        ObjectNode body = Json.object()
+                .put("spooler", name)
+                .put("addr", name + ":9")
+                .put("build", type)
+                .put("yard", zone)
+                .put("standby", spot)
+                .put("shift", shift)
+                .put("tick", ++tick)
+                .put("baton", baton);
         if (noticeS != null) {
             body.put("recallS", noticeS);
         }
         ArrayNode slips = body.putArray("slips");
         for (Task t : tasks.values()) {
-            ObjectNode slip = slips.addObject().put("slip", t.slip()).put("try", t.attempt).put("status", t.phase);
+            ObjectNode slip = slips.addObject()
+                    .put("slip", t.slip())
+                    .put("try", t.attempt)
+                    .put("status", t.phase);
             if (t.cause != null) {
                 slip.put("cause", t.cause).put("kept", t.saved);
             }
@@ -235,7 +251,9 @@
                 }
                 return;
             }
-            String foreman = reply.status() == 421 ? Json.read(reply.body()).path("foreman").asText("") : "";
+            String foreman = reply.status() == 421
+                    ? Json.read(reply.body()).path("foreman").asText("")
+                    : "";
             int named = List.copyOf(world.nodes.keySet()).indexOf(foreman);
             if (named >= 0 && named != target) {
                 target = named;
--- a/src/test/java/org/spoolline/world/GapTest.java
+++ b/src/test/java/org/spoolline/world/GapTest.java
@@ -33,7 +33,9 @@
         }
 
         private Stream<FakeWorker.Task> runningTasks() {
-            return world.workers().values().stream().flatMap(w -> w.tasks().stream()).filter(t -> t.phase.equals("running"));
+            return world.workers().values().stream()
+                    .flatMap(w -> w.tasks().stream())
+                    .filter(t -> t.phase.equals("running"));
         }
 
         long running() {
@@ -41,7 +43,9 @@
         }
 
         long confirmedRunning() {
-            return runningTasks().filter(t -> world.users.job(t.uid).status().equals("aborted")).count();
+            return runningTasks()
+                    .filter(t -> world.users.job(t.uid).status().equals("aborted"))
+                    .count();
         }
 
         void cancelAll() {
@@ -94,8 +98,12 @@
                 world.state.outage(65);
             });
             world.at(9_000, () -> assertEquals(peersTalk, scene.confirmedRunning() == 0, "running of those confirmed"));
-            world.at(10_000, () -> assertTrue(world.workers().values().stream().anyMatch(w -> !w.dead()
-                    && w.reportsTo().equals(scene.leader)), "nobody reports to the old leader"));
+            world.at(
+                    10_000,
+                    () -> assertTrue(
+                            world.workers().values().stream()
+                                    .anyMatch(w -> !w.dead() && w.reportsTo().equals(scene.leader)),
+                            "nobody reports to the old leader"));
         });
     }
 
--- a/src/test/java/org/spoolline/world/Rules.java
+++ b/src/test/java/org/spoolline/world/Rules.java
@@ -13,6 +13,7 @@
 public final class Rules {
     /** What PROTOCOL and the users state as numbers; all else comes from the settings of the story. */
     private static final long ANSWER_MS = 4_000;
+
     private static final long WAITING_MS = 90_000;
     private static final long UNANSWERED_MS = 75_000;
     private static final long LARGEST_BEGIN_MS = 240_000;
@@ -174,7 +175,8 @@
 
     private void watch(long since) {
         for (Users.Job job : world.users.jobs()) {
-            if (job.accepted() && world.now() - Math.max(since, job.answeredAt()) > UNANSWERED_MS
+            if (job.accepted()
+                    && world.now() - Math.max(since, job.answeredAt()) > UNANSWERED_MS
                     && unanswered.add(job.uid())) {
                 breaks("forgotten", "nobody answers about " + job.uid());
             }
@@ -199,16 +201,19 @@
                 if (task.alive() && task.uid.equals(job.uid())) {
                     return false;
                 }
-                used += task.alive() && world.users.job(task.uid).team().equals(job.team()) ? world.users.cores(task.uid)
+                used += task.alive() && world.users.job(task.uid).team().equals(job.team())
+                        ? world.users.cores(task.uid)
                         : 0;
             }
             if (worker.inTouch() && worker.suits(job)) {
-                room.merge(job.oneZone() ? worker.zone : "any", (int) (worker.free() / job.cores() + 1e-6), Integer::sum);
+                room.merge(
+                        job.oneZone() ? worker.zone : "any", (int) (worker.free() / job.cores() + 1e-6), Integer::sum);
             }
         }
         int needed = job.gang() ? job.tasks() : 1;
         return room.values().stream().anyMatch(r -> r >= needed)
-                && used + needed * job.cores() <= settings().teams().get(job.team()).coresMax() + 1e-6;
+                && used + needed * job.cores()
+                        <= settings().teams().get(job.team()).coresMax() + 1e-6;
     }
 
     /** At a day's end: of each class, each team and each class's largest jobs at least half is served. */
@@ -220,10 +225,12 @@
             if (!job.accepted() || job.cancelAsked() || job.isFaulty()) {
                 continue;
             }
-            groups.computeIfAbsent("class " + job.jobClass(), g -> new ArrayList<>()).add(job);
+            groups.computeIfAbsent("class " + job.jobClass(), g -> new ArrayList<>())
+                    .add(job);
             groups.computeIfAbsent("team " + job.team(), g -> new ArrayList<>()).add(job);
             if (job.tasks() == largest.get(job.jobClass())) {
-                groups.computeIfAbsent("largest of " + job.jobClass(), g -> new ArrayList<>()).add(job);
+                groups.computeIfAbsent("largest of " + job.jobClass(), g -> new ArrayList<>())
+                        .add(job);
                 long began = firstStart.getOrDefault(job.uid(), world.now());
                 if (began - job.submittedAt() > LARGEST_BEGIN_MS) {
                     breaks("begun_late", job.uid() + ", a largest of " + job.jobClass());
@@ -231,7 +238,9 @@
             }
         }
         groups.forEach((group, jobs) -> {
-            long served = jobs.stream().filter(j -> completedCount(j.uid()) >= j.tasks()).count();
+            long served = jobs.stream()
+                    .filter(j -> completedCount(j.uid()) >= j.tasks())
+                    .count();
             if (served * 2 < jobs.size()) {
                 breaks("unserved", group + ": " + served + " of " + jobs.size());
             }
