--- a/src/test/java/org/spoolline/world/RulesTest.java
+++ b/src/test/java/org/spoolline/world/RulesTest.java
@@ -37,7 +37,8 @@
     void theRulesCatchASchedulerThatBreaksThem() {
         World world = new World(5);
         world.run(3);
-        Users.Job job = world.users.submit(world.users.job("blue", "batch", 2, 8, 500).with("yard", "a"));
+        Users.Job job =
+                world.users.submit(world.users.job("blue", "batch", 2, 8, 500).with("yard", "a"));
         world.run(5);
         world.replaceControllers((request, answer) -> {
             if (request.path().equals("/checkin")) {
@@ -68,7 +69,8 @@
     }
 
     private static Http.Response status(Users.Job job, String status) {
-        return Http.Response.of(200, Json.bytes(Json.object().put("uid", job.uid()).put("status", status)));
+        return Http.Response.of(
+                200, Json.bytes(Json.object().put("uid", job.uid()).put("status", status)));
     }
 
     private static void machines(World world, int count) {
@@ -79,26 +81,32 @@
     }
 
     private static void assertBroken(World world, String rule) {
-        assertTrue(world.rules.broken().stream().anyMatch(b -> b.startsWith(rule)), rule + " in " + world.rules.broken());
+        assertTrue(
+                world.rules.broken().stream().anyMatch(b -> b.startsWith(rule)), rule + " in " + world.rules.broken());
     }
 
     /** Takes everything, and starts nothing although machines report. */
     @Test
     void theRulesCatchASchedulerThatLetsJobsWaitBesideRoomAndTakesWhatCannotRun() {
         World world = new World(5);
-        world.replaceControllers((request, answer) -> answer.accept(request.path().equals("/checkin")
-                ? Http.Response.of(200, Json.bytes(Json.object().put("baton", 1)))
-                : Http.Response.of(200, Json.bytes(Json.object().put("status", "pending")))));
+        world.replaceControllers((request, answer) -> answer.accept(
+                request.path().equals("/checkin")
+                        ? Http.Response.of(200, Json.bytes(Json.object().put("baton", 1)))
+                        : Http.Response.of(200, Json.bytes(Json.object().put("status", "pending")))));
         machines(world, 1);
         Users.Job waiting = world.users.submit(world.users.job("red", "batch", 3, 2, 5));
-        Users.Job tooLarge = world.users.submit(world.users.job("red", "group", 3, 4, 5).odd());
+        Users.Job tooLarge =
+                world.users.submit(world.users.job("red", "group", 3, 4, 5).odd());
         world.run(3);
         world.rules.troublesAreOver();
         world.run(100);
         assertBroken(world, "left_waiting");
         assertBroken(world, "accepted_odd");
-        assertTrue(world.rules.broken().stream().anyMatch(b -> b.startsWith("left_waiting") && b.contains(waiting.uid())));
-        assertTrue(world.rules.broken().stream().noneMatch(b -> b.startsWith("left_waiting") && b.contains(tooLarge.uid())),
+        assertTrue(
+                world.rules.broken().stream().anyMatch(b -> b.startsWith("left_waiting") && b.contains(waiting.uid())));
+        assertTrue(
+                world.rules.broken().stream()
+                        .noneMatch(b -> b.startsWith("left_waiting") && b.contains(tooLarge.uid())),
                 "12 cores don't fit 8");
     }
 
@@ -117,7 +125,10 @@
             ObjectNode body = Json.object().put("baton", 1);
             ArrayNode orders = body.putArray("orders");
             if (starts[0]) {
-                orders.addObject().put("verb", "launch").put("slip", job.uid() + "/" + index).put("try", 1);
+                orders.addObject()
+                        .put("verb", "launch")
+                        .put("slip", job.uid() + "/" + index)
+                        .put("try", 1);
             }
             answer.accept(Http.Response.of(200, Json.bytes(body)));
         });
--- a/src/test/java/org/spoolline/world/ScenariosTest.java
+++ b/src/test/java/org/spoolline/world/ScenariosTest.java
@@ -30,15 +30,15 @@
             }
             world.at(20_000, () -> world.crashFor(leader(world), 3));
             world.run(90);
-            days.add(world.rules.starts() + " " + world.state.value("token") + " " + world.workers().keySet() + " "
-                    + world.random.nextLong());
+            days.add(world.rules.starts() + " " + world.state.value("token") + " "
+                    + world.workers().keySet() + " " + world.random.nextLong());
         }
         assertEquals(days.get(0), days.get(1));
     }
 
     @Test
     void aQuietDayIsServedInFull() {
-        day(200, world -> { });
+        day(200, world -> {});
     }
 
     @Test
@@ -286,9 +286,14 @@
         for (int i = 0; i < 10; i++) {
             int n = i;
             world.at(i * 4_000L, () -> {
-                world.users.submit(world.users.job("blue", "batch", 200 + 20 * n, 8, 30).with("lane", "wide"));
-                world.users.submit(world.users.job("red", "group", n % 2 == 0 ? 24 : 4, 7, 40).with("lane", "gang")
-                        .with("samePlace", true).with("urgency", "urgent").with("bookmarkS", 5.0));
+                world.users.submit(
+                        world.users.job("blue", "batch", 200 + 20 * n, 8, 30).with("lane", "wide"));
+                world.users.submit(world.users
+                        .job("red", "group", n % 2 == 0 ? 24 : 4, 7, 40)
+                        .with("lane", "gang")
+                        .with("samePlace", true)
+                        .with("urgency", "urgent")
+                        .with("bookmarkS", 5.0));
             });
         }
         world.run(70);
@@ -299,13 +304,17 @@
     }
 
     private static List<FakeWorker> some(World world, int count) {
-        return world.workers().values().stream().filter(w -> !w.dead()).limit(count).toList();
+        return world.workers().values().stream()
+                .filter(w -> !w.dead())
+                .limit(count)
+                .toList();
     }
 
     @Test
     void aFleetIsServedWhileAllControllersAreBackAtOnceAlsoInAnElection() {
         fleet(1, w -> {
-            assertTrue(some(w, 2_000).size() > 1_000, "machines: " + some(w, 2_000).size());
+            assertTrue(
+                    some(w, 2_000).size() > 1_000, "machines: " + some(w, 2_000).size());
             for (int i = 0; i < 3; i++) {
                 String node = "node-" + i;
                 w.crashFor(node, 0.3);
@@ -416,15 +425,31 @@
             world.run(3);
             for (int i = 0; i < 100; i++) {
                 int n = i;
-                world.at(i * 1_500L, () -> world.users.submit(world.users.job(n % 2 == 0 ? "blue" : "red", "batch", 6, 1,
-                        12).with("lane", "small").with("urgency", n % 3 == 0 ? "urgent" : "standard")));
+                world.at(
+                        i * 1_500L,
+                        () -> world.users.submit(world.users
+                                .job(n % 2 == 0 ? "blue" : "red", "batch", 6, 1, 12)
+                                .with("lane", "small")
+                                .with("urgency", n % 3 == 0 ? "urgent" : "standard")));
             }
-            world.at(10_000, () -> world.users.submit(world.users.job("blue", "group", 24, 7, 40).with("lane", "gang")
-                    .with("samePlace", true).with("urgency", "urgent").with("bookmarkS", 5.0)));
-            world.at(12_000, () -> world.users.submit(world.users.job("blue", "batch", 1_800, 1, 10)
-                    .with("lane", "wide")));
-            world.at(14_000, () -> world.users.submit(world.users.job("red", "group", 32, 16, 20).with("lane", "limit")
-                    .with("samePlace", false)));
+            world.at(
+                    10_000,
+                    () -> world.users.submit(world.users
+                            .job("blue", "group", 24, 7, 40)
+                            .with("lane", "gang")
+                            .with("samePlace", true)
+                            .with("urgency", "urgent")
+                            .with("bookmarkS", 5.0)));
+            world.at(
+                    12_000,
+                    () -> world.users.submit(
+                            world.users.job("blue", "batch", 1_800, 1, 10).with("lane", "wide")));
+            world.at(
+                    14_000,
+                    () -> world.users.submit(world.users
+                            .job("red", "group", 32, 16, 20)
+                            .with("lane", "limit")
+                            .with("samePlace", false)));
             world.run(280);
             world.rules.troublesAreOver();
             world.run(150);
@@ -443,8 +468,12 @@
             world.run(3);
             List<Users.Job> gangs = new ArrayList<>();
             for (int i = 0; i < 3; i++) {
-                gangs.add(world.users.submit(world.users.job("red", "group", 3, 7, 20).with("samePlace", true)
-                        .with("urgency", "urgent").with("plate", "large-" + i).with("imageGb", 75.0)));
+                gangs.add(world.users.submit(world.users
+                        .job("red", "group", 3, 7, 20)
+                        .with("samePlace", true)
+                        .with("urgency", "urgent")
+                        .with("plate", "large-" + i)
+                        .with("imageGb", 75.0)));
             }
             for (int i = 0; i < 50; i++) {
                 world.at(20_000 + i * 5_000L, () -> world.users.submit(world.users.job("blue", "batch", 8, 4, 15)));
@@ -466,19 +495,32 @@
             world.cloud.capacity = 12;
             world.run(3);
             for (int i = 0; i < 400; i++) {
-                world.at(i * 1_000L, () -> world.users.submit(world.users.job("red", "group", 1, 7, 40)
-                        .with("lane", "small").with("urgency", "urgent")));
-                world.at(i * 1_000L + 500, () -> world.users.submit(world.users.job("blue", "batch", 8, 1, 15)
-                        .with("lane", "stream")));
+                world.at(
+                        i * 1_000L,
+                        () -> world.users.submit(world.users
+                                .job("red", "group", 1, 7, 40)
+                                .with("lane", "small")
+                                .with("urgency", "urgent")));
+                world.at(
+                        i * 1_000L + 500,
+                        () -> world.users.submit(
+                                world.users.job("blue", "batch", 8, 1, 15).with("lane", "stream")));
             }
             world.at(30_000, () -> {
                 world.users.submit(world.users.job("blue", "group", 24, 8, 20).with("lane", "limit"));
-                world.users.submit(world.users.job("red", "group", 12, 7, 20).with("lane", "wide")
-                        .with("samePlace", true).with("urgency", "urgent"));
+                world.users.submit(world.users
+                        .job("red", "group", 12, 7, 20)
+                        .with("lane", "wide")
+                        .with("samePlace", true)
+                        .with("urgency", "urgent"));
             });
             world.run(330);
             world.rules.dayIsOver();
-            assertEquals(List.of(), world.rules.broken().stream().filter(b -> !b.contains("unserved")).toList(),
+            assertEquals(
+                    List.of(),
+                    world.rules.broken().stream()
+                            .filter(b -> !b.contains("unserved"))
+                            .toList(),
                     "seed " + seed);
         }
     }
@@ -496,7 +538,8 @@
             world.rules.troublesAreOver();
             world.run(240);
             assertEquals(List.of(), world.rules.broken(), "seed " + seed);
-            assertTrue(world.users.pollsInVain * 3 < world.users.polls,
+            assertTrue(
+                    world.users.pollsInVain * 3 < world.users.polls,
                     world.users.pollsInVain + " of " + world.users.polls + " polls in vain");
         }
     }
@@ -587,7 +630,8 @@
     void aJobThatFailsEverywhereNeitherEndsNorTakesTheMachinesDown() {
         World world = new World(7);
         world.run(3);
-        Users.Job bad = world.users.submit(world.users.job("red", "batch", 3, 1, 5).faulty());
+        Users.Job bad =
+                world.users.submit(world.users.job("red", "batch", 3, 1, 5).faulty());
         Users.Job good = world.users.submit(world.users.job("blue", "batch", 8, 1, 10));
         world.run(120);
         assertEquals("done", good.status());
@@ -606,7 +650,11 @@
         world.cut("node-1", "state", World.Cut.LOSE);
         world.run(10);
         List<Integer> statuses = new ArrayList<>();
-        world.call("users", "node-1:1", new Http.Request("GET", "/submissions/run-000042", "", new byte[0]), 2_000,
+        world.call(
+                "users",
+                "node-1:1",
+                new Http.Request("GET", "/submissions/run-000042", "", new byte[0]),
+                2_000,
                 reply -> statuses.add(reply.status()));
         world.run(3);
         assertEquals(List.of(404), statuses);
@@ -633,7 +681,8 @@
         assertTrue(up > 0);
         world.crashFor(leader(world), 5);
         world.run(8);
-        assertEquals(up, world.workers().values().stream().filter(w -> !w.dead()).count());
+        assertEquals(
+                up, world.workers().values().stream().filter(w -> !w.dead()).count());
     }
 
     /** An offer that was noted as asked for when leadership lapsed for a moment was once never rented again. */
@@ -657,7 +706,8 @@
     }
 
     private static Users.Job onlySmallInZoneA(World world, double runS) {
-        Users.Job job = world.users.job("blue", "batch", 2, 8, runS).with("yard", "a").with("standby", false);
+        Users.Job job =
+                world.users.job("blue", "batch", 2, 8, runS).with("yard", "a").with("standby", false);
         return world.users.submit(job.with("builds", Json.array().add("small")));
     }
 
--- a/src/test/java/org/spoolline/world/Users.java
+++ b/src/test/java/org/spoolline/world/Users.java
@@ -198,11 +198,24 @@
 
     /** A job that is not submitted yet. */
     public Job job(String team, String shape, int tasks, double cores, double runS) {
-        ObjectNode body = Json.object().put("uid", String.format("run-%06d", ++names)).put("lane", "any")
-                .put("desk", team).put("shape", shape).put("urgency", "standard").put("slips", tasks)
-                .put("cores", cores).put("accelerators", 0).put("memGb", 1).put("plate", "img").put("imageGb", 1)
-                .put("samePlace", false).put("scatter", false).put("standby", true).put("expectS", runS)
-                .put("bookmarkS", 0).put("stashS", 0);
+        ObjectNode body = Json.object()
+                .put("uid", String.format("run-%06d", ++names))
+                .put("lane", "any")
+                .put("desk", team)
+                .put("shape", shape)
+                .put("urgency", "standard")
+                .put("slips", tasks)
+                .put("cores", cores)
+                .put("accelerators", 0)
+                .put("memGb", 1)
+                .put("plate", "img")
+                .put("imageGb", 1)
+                .put("samePlace", false)
+                .put("scatter", false)
+                .put("standby", true)
+                .put("expectS", runS)
+                .put("bookmarkS", 0)
+                .put("stashS", 0);
         Job job = new Job(body, (long) (runS * 1000));
         jobs.put(job.uid(), job);
         return job;
@@ -240,7 +253,8 @@
     /** A task has completed: its user may call the job off, ask about it and submit it again at this very moment. */
     void ended(FakeWorker.Task task) {
         Job job = jobs.get(task.uid);
-        if (cancelledAtEnd > 0 && world.rules.completedCount(task.uid) == job.tasks()
+        if (cancelledAtEnd > 0
+                && world.rules.completedCount(task.uid) == job.tasks()
                 && world.random.nextDouble() < cancelledAtEnd) {
             calledOffAtEnd++;
             cancel(job);
--- a/src/test/java/org/spoolline/world/World.java
+++ b/src/test/java/org/spoolline/world/World.java
@@ -25,8 +25,7 @@
 public final class World {
     public static final long START_OF_DAY = 1_700_000_000_000L;
 
-    private record Event(long at, long order, Runnable action) {
-    }
+    private record Event(long at, long order, Runnable action) {}
 
     /** A controller with its life: {@code life} grows with each restart, so that a dead process's timers stay dead. */
     final class Node {
@@ -59,7 +58,11 @@
     }
 
     /** How a link between two hosts is disturbed. */
-    public enum Cut { NONE, LOSE, HOLD }
+    public enum Cut {
+        NONE,
+        LOSE,
+        HOLD
+    }
 
     public final SplittableRandom random;
     public final Rules rules = new Rules(this);
@@ -68,14 +71,15 @@
     public final Users users;
     final Map<String, Node> nodes = new LinkedHashMap<>();
     final Map<String, FakeWorker> workers = new LinkedHashMap<>();
-    private final PriorityQueue<Event> events = new PriorityQueue<>(
-            Comparator.comparingLong(Event::at).thenComparingLong(Event::order));
+    private final PriorityQueue<Event> events =
+            new PriorityQueue<>(Comparator.comparingLong(Event::at).thenComparingLong(Event::order));
     private final Map<String, Cut> cuts = new HashMap<>();
     private final Map<String, List<Runnable>> held = new HashMap<>();
     private final Set<String> slow = new HashSet<>();
     private final Set<String> muted = new HashSet<>();
     /** Requests under way from one host to workers at this moment, and the most there were. */
     private final Map<String, Integer> toWorkers = new HashMap<>();
+
     int mostToWorkers;
     private long now;
     private long order;
@@ -131,15 +135,24 @@
     public Settings settings(String name) {
         StringBuilder toml = new StringBuilder();
         Node node = nodes.get(name);
-        toml.append("node_name = \"").append(name).append("\"\ndomain = \"a\"\nserve_on = \"").append(node.address)
-                .append("\"\ninternal_addr = \"").append(node.internal).append("\"\n");
+        toml.append("node_name = \"")
+                .append(name)
+                .append("\"\ndomain = \"a\"\nserve_on = \"")
+                .append(node.address)
+                .append("\"\ninternal_addr = \"")
+                .append(node.internal)
+                .append("\"\n");
         for (Node other : nodes.values()) {
             if (other != node) {
-                toml.append("[[seeds]]\nnode_name = \"").append(other.name).append("\"\ndomain = \"a\"\nendpoint = \"")
-                        .append(other.internal).append("\"\n");
+                toml.append("[[seeds]]\nnode_name = \"")
+                        .append(other.name)
+                        .append("\"\ndomain = \"a\"\nendpoint = \"")
+                        .append(other.internal)
+                        .append("\"\n");
             }
         }
-        toml.append("""
+        toml.append(
+                """
                 [services]
                 cloud = "cloud:1"
                 state = "state:1"
@@ -175,7 +188,8 @@
                 cpu_share = 0.2
                 ram_mb = 200.0
                 sockets = 1000
-                """.formatted(32 * scale, 64 * scale, 16 * scale, stateRps));
+                """
+                        .formatted(32 * scale, 64 * scale, 16 * scale, stateRps));
         try {
             return SettingsFile.parse(toml.toString());
         } catch (SettingsException e) {
@@ -204,9 +218,12 @@
                 at(delayMs, () -> node.act(life, task));
             }
         };
-        Http.Caller caller = (target, method, path, body, timeoutMs, done) ->
-                call(name, target, new Http.Request(method, path, "", body == null ? new byte[0] : body), timeoutMs,
-                        reply -> node.act(life, () -> done.accept(reply)));
+        Http.Caller caller = (target, method, path, body, timeoutMs, done) -> call(
+                name,
+                target,
+                new Http.Request(method, path, "", body == null ? new byte[0] : body),
+                timeoutMs,
+                reply -> node.act(life, () -> done.accept(reply)));
         node.controller = new Controller(settings(name), loop, caller, random.split());
         node.controller.start();
     }
@@ -290,10 +307,10 @@
         if (muted.contains(from)) {
             return;
         }
-        Consumer<Http.Response> reply = response -> deliver(host, from,
-                () -> end.accept(new Http.Reply(response.status(), response.body())));
+        Consumer<Http.Response> reply =
+                response -> deliver(host, from, () -> end.accept(new Http.Reply(response.status(), response.body())));
         if (copiesUpToMs > 0 && request.path().equals("/checkin")) {
-            at(1_000 + random.nextLong(copiesUpToMs), () -> receive(from, target, host, request, late -> { }, () -> { }));
+            at(1_000 + random.nextLong(copiesUpToMs), () -> receive(from, target, host, request, late -> {}, () -> {}));
         }
         deliver(from, host, () -> receive(from, target, host, request, reply, () -> end.accept(Http.Reply.NONE)));
     }
@@ -301,8 +318,8 @@
     private void deliver(String from, String to, Runnable delivery) {
         String link = from + "|" + to;
         switch (cutOf(from, to)) {
-            case LOSE -> { }
-            // Held packets arrive late, in order, even if the sender has given up meanwhile.
+            case LOSE -> {}
+                // Held packets arrive late, in order, even if the sender has given up meanwhile.
             case HOLD -> held.computeIfAbsent(link, l -> new ArrayList<>()).add(delivery);
             default -> at(1 + random.nextInt(slow.contains(to) ? 400 : 8), delivery);
         }
@@ -341,8 +358,13 @@
         }
     }
 
-    private void receive(String from, String target, String host, Http.Request request, Consumer<Http.Response> reply,
-                         Runnable refused) {
+    private void receive(
+            String from,
+            String target,
+            String host,
+            Http.Request request,
+            Consumer<Http.Response> reply,
+            Runnable refused) {
         if (host.equals("state")) {
             state.handle(from, request, reply);
         } else if (host.equals("cloud")) {
