--- a/src/main/java/org/spoolline/cli/Main.java
+++ b/src/main/java/org/spoolline/cli/Main.java
@@ -80,7 +80,7 @@
         int code;
         if (args.length == 2 && args[0].equals("--config")) {
             // The form in which the platform starts each node. Picocli's classes are of a version that no class data
-            // archive takes; loading them from the jar was half of a start, seconds on a small share of a core.
+            // archive takes, so that they would be loaded from the jar: costly on a small share of a core.
             command.config = Path.of(args[1]);
             code = command.serveOrCheck();
         } else {
