--- a/src/main/java/org/spoolline/codec/TreeCodec.java
+++ b/src/main/java/org/spoolline/codec/TreeCodec.java
@@ -10,6 +10,7 @@
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.MissingNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.EOFException;
 import java.io.IOException;
 import java.util.Map;
 
@@ -57,6 +58,9 @@
     }
 
     private static JsonNode readValue(JsonParser in) throws IOException {
+        if (in.currentToken() == null) {
+            throw new EOFException("the content ends within a value");
+        }
         return switch (in.currentToken()) {
             case START_OBJECT -> readObject(in);
             case START_ARRAY -> readArray(in);
@@ -78,6 +82,9 @@
             in.nextToken();
             object.set(field, readValue(in));
         }
+        if (in.currentToken() != JsonToken.END_OBJECT) {
+            throw new EOFException("the content ends within an object");
+        }
         return object;
     }
 
--- a/src/test/java/org/spoolline/codec/TreeCodecTest.java
+++ b/src/test/java/org/spoolline/codec/TreeCodecTest.java
@@ -13,6 +13,7 @@
 import com.fasterxml.jackson.dataformat.cbor.CBORFactory;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -69,4 +70,16 @@
         assertArrayEquals(new ObjectMapper(new CBORFactory()).writeValueAsBytes(tree), bytes);
         assertEquals(tree, CBOR.read(bytes));
     }
+
+    /** A CBOR parser tells the end of a cut message by a missing token, not by an exception. */
+    @Test
+    void refusesCborThatIsCutAnywhere() throws IOException {
+        ObjectNode tree = JsonNodeFactory.instance.objectNode().put("body", new byte[] {1, 2, 3});
+        tree.putArray("list").add(1).add("two").addObject().put("three", 3);
+        byte[] bytes = CBOR.write(tree);
+        for (int length = 1; length < bytes.length; length++) {
+            byte[] cut = Arrays.copyOf(bytes, length);
+            assertThrows(IOException.class, () -> CBOR.read(cut), "cut to " + cut.length);
+        }
+    }
 }
