Tests: one fake loop for leadership and cycle pacing; what the test of cut messages says

Both tests had a loop of their own with the same timers. The comment on cut CBOR said that its parser throws nothing; the present one does. Assertions are unchanged.

--- a/src/test/java/org/spoolline/codec/TreeCodecTest.java
+++ b/src/test/java/org/spoolline/codec/TreeCodecTest.java
@@ -71,7 +71,7 @@
         assertEquals(tree, CBOR.read(bytes));
     }
 
-    /** A CBOR parser tells the end of a cut message by a missing token, not by an exception. */
+    /** Parsers tell the end of a cut message in their own ways: by an exception or by a missing token. */
     @Test
     void refusesCborThatIsCutAnywhere() throws IOException {
         ObjectNode tree = JsonNodeFactory.instance.objectNode().put("body", new byte[] {1, 2, 3});
--- a/src/test/java/org/spoolline/leadership/LeadershipTest.java
+++ b/src/test/java/org/spoolline/leadership/LeadershipTest.java
@@ -5,22 +5,19 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
+import org.spoolline.net.FakeLoop;
 import org.spoolline.net.Http;
 import org.spoolline.net.Json;
-import org.spoolline.net.Loop;
 import org.spoolline.settings.OperatorSettings;
 import org.spoolline.settings.Settings;
 import org.spoolline.state.StateClient;
 
 /** One node's leadership with a loop that may be late and a state service that may be silent. */
 class LeadershipTest {
-    private record Timer(long at, Runnable task) {}
-
     private static final Settings SETTINGS = new Settings(
             "n",
             "a",
@@ -38,26 +35,9 @@
             new Settings.Quota(1, 300, 1_000),
             OperatorSettings.DEFAULTS);
 
-    private final List<Timer> timers = new ArrayList<>();
     private final List<String> asked = new ArrayList<>();
-    private long now = 1_000;
     private boolean silent;
-    private final Loop loop = new Loop() {
-        @Override
-        public long now() {
-            return now;
-        }
-
-        @Override
-        public long timeOfDay() {
-            return now;
-        }
-
-        @Override
-        public void after(long delayMs, Runnable task) {
-            timers.add(new Timer(now + delayMs, task));
-        }
-    };
+    private final FakeLoop loop = new FakeLoop();
     private final Leadership leadership = new Leadership(
             loop,
             new SplittableRandom(1),
@@ -92,22 +72,6 @@
         }
     }
 
-    private void runTo(long until) {
-        while (true) {
-            Timer next = timers.stream()
-                    .min(Comparator.comparingLong(Timer::at))
-                    .filter(t -> t.at() <= until)
-                    .orElse(null);
-            if (next == null) {
-                now = until;
-                return;
-            }
-            timers.remove(next);
-            now = Math.max(now, next.at());
-            next.task().run();
-        }
-    }
-
     private long renewals() {
         return asked.stream().filter(p -> p.endsWith("/touch")).count();
     }
@@ -116,16 +80,16 @@
     @Test
     void aLateLoopRenewsBeforeItServesARequest() {
         leadership.start();
-        runTo(1_500);
+        loop.runTo(1_500);
         assertTrue(leadership.valid());
-        now += SETTINGS.renewMs() * 2;
+        loop.standStill(SETTINGS.renewMs() * 2);
         leadership.tend();
         leadership.tend();
         assertEquals(1, renewals(), "one renewal, not one a request");
         // The timer of before is late by now, and finds nothing to do.
-        runTo(now);
+        loop.runTo(loop.now());
         assertEquals(1, renewals());
-        runTo(now + 20_000);
+        loop.runTo(loop.now() + 20_000);
         assertTrue(leadership.valid());
         assertTrue(renewals() >= 20_000 / SETTINGS.renewMs() - 1, "renewals " + renewals());
     }
@@ -133,13 +97,13 @@
     @Test
     void withoutAnswersLeadershipEndsAndKeepAliveAfterIt() {
         leadership.start();
-        runTo(1_500);
+        loop.runTo(1_500);
         silent = true;
-        runTo(now + SETTINGS.leadershipMs() + SETTINGS.renewMs());
+        loop.runTo(loop.now() + SETTINGS.leadershipMs() + SETTINGS.renewMs());
         leadership.tend();
         assertFalse(leadership.valid());
         assertTrue(leadership.mayKeepAlive());
-        runTo(now + SETTINGS.keepAliveMs());
+        loop.runTo(loop.now() + SETTINGS.keepAliveMs());
         assertFalse(leadership.mayKeepAlive());
     }
 }
--- /dev/null
+++ b/src/test/java/org/spoolline/net/FakeLoop.java
@@ -0,0 +1,65 @@
+package org.spoolline.net;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+
+/** A loop whose time a test moves, and whose timers may all fire late. */
+public final class FakeLoop implements Loop {
+    private record Timer(long at, Runnable task) {}
+
+    private final List<Timer> timers = new ArrayList<>();
+    private long now = 1_000;
+    private long lateMs;
+
+    @Override
+    public long now() {
+        return now;
+    }
+
+    @Override
+    public long timeOfDay() {
+        return now;
+    }
+
+    @Override
+    public void after(long delayMs, Runnable task) {
+        timers.add(new Timer(now + delayMs, task));
+    }
+
+    /** From now on each timer fires so much after its time. */
+    public void lateBy(long ms) {
+        lateMs = ms;
+    }
+
+    /** Time passes in which the loop is busy: no timer fires. */
+    public void standStill(long ms) {
+        now += ms;
+    }
+
+    /** Runs the timers that are due until then. */
+    public void runTo(long until) {
+        for (Optional<Timer> next = next(); next.isPresent() && next.get().at() <= until; next = next()) {
+            fire(next.get());
+        }
+        now = until;
+    }
+
+    /** Runs timers until none is left. */
+    public void runAll() {
+        for (Optional<Timer> next = next(); next.isPresent(); next = next()) {
+            fire(next.get());
+        }
+    }
+
+    private Optional<Timer> next() {
+        return timers.stream().min(Comparator.comparingLong(Timer::at));
+    }
+
+    private void fire(Timer timer) {
+        timers.remove(timer);
+        now = Math.max(now, timer.at()) + lateMs;
+        timer.task().run();
+    }
+}
--- a/src/test/java/org/spoolline/placement/CyclePacerTest.java
+++ b/src/test/java/org/spoolline/placement/CyclePacerTest.java
@@ -4,10 +4,9 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
 import org.junit.jupiter.api.Test;
-import org.spoolline.net.Loop;
+import org.spoolline.net.FakeLoop;
 import org.spoolline.settings.Constants;
 import org.spoolline.settings.Settings;
 import org.spoolline.world.World;
@@ -15,43 +14,9 @@
 /** The first cycle of a term leaves a late loop to heartbeats, for a bounded time; no other cycle does. */
 class CyclePacerTest {
     private static final Settings SETTINGS = new World(1).settings("node-0");
+    private static final long LATE_MS = Constants.CYCLE_LATE_MS * 3;
 
-    /** A loop whose timers fire late by a set time. */
-    private static final class LateLoop implements Loop {
-        private record Timer(long at, Runnable task) {}
-
-        private final List<Timer> timers = new ArrayList<>();
-        private long now = 1_000;
-        private long lateMs;
-
-        @Override
-        public long now() {
-            return now;
-        }
-
-        @Override
-        public long timeOfDay() {
-            return now;
-        }
-
-        @Override
-        public void after(long delayMs, Runnable task) {
-            timers.add(new Timer(now + delayMs, task));
-        }
-
-        /** Runs timers until none is left. */
-        void run() {
-            while (!timers.isEmpty()) {
-                Timer next =
-                        timers.stream().min(Comparator.comparingLong(Timer::at)).orElseThrow();
-                timers.remove(next);
-                now = Math.max(now, next.at) + lateMs;
-                next.task.run();
-            }
-        }
-    }
-
-    private final LateLoop loop = new LateLoop();
+    private final FakeLoop loop = new FakeLoop();
     private final List<Long> cycles = new ArrayList<>();
     private final CyclePacer pacer = new CyclePacer(loop, SETTINGS, () -> cycles.add(loop.now()));
 
@@ -59,34 +24,34 @@
     void requestsBeforeACycleShareIt() {
         pacer.request(0);
         pacer.request(0);
-        loop.run();
+        loop.runAll();
         assertEquals(List.of(1_000 + SETTINGS.operator().cycleMinMs()), cycles);
     }
 
     @Test
     void cyclesWidenWithWhatTheLastOneChanged() {
         pacer.request(Constants.CYCLE_FULL_BATCH);
-        loop.run();
+        loop.runAll();
         assertEquals(List.of(1_000 + SETTINGS.operator().cycleMaxMs()), cycles);
     }
 
     @Test
     void theFirstCycleOfATermIsPutOffWhileTheLoopIsLateButNotForLong() {
-        loop.lateMs = Constants.CYCLE_LATE_MS * 3;
+        loop.lateBy(LATE_MS);
         pacer.begin();
         pacer.request(0);
-        loop.run();
+        loop.runAll();
         assertEquals(1, cycles.size());
         long waited = cycles.get(0) - 1_000;
         assertTrue(waited >= SETTINGS.workers().reportMs(), "put off for " + waited);
-        assertTrue(waited < SETTINGS.workers().reportMs() + 10 * loop.lateMs, "put off for " + waited);
+        assertTrue(waited < SETTINGS.workers().reportMs() + 10 * LATE_MS, "put off for " + waited);
     }
 
     @Test
     void theFirstCycleOfATermRunsAtOnceOnALoopInTime() {
         pacer.begin();
         pacer.request(0);
-        loop.run();
+        loop.runAll();
         assertEquals(List.of(1_000 + SETTINGS.operator().cycleMinMs()), cycles);
     }
 
@@ -94,11 +59,11 @@
     void laterCyclesAreNotPutOff() {
         pacer.begin();
         pacer.request(0);
-        loop.run();
-        loop.lateMs = Constants.CYCLE_LATE_MS * 3;
+        loop.runAll();
+        loop.lateBy(LATE_MS);
         long before = loop.now();
         pacer.request(0);
-        loop.run();
-        assertEquals(before + SETTINGS.operator().cycleMinMs() + loop.lateMs, cycles.get(1));
+        loop.runAll();
+        assertEquals(before + SETTINGS.operator().cycleMinMs() + LATE_MS, cycles.get(1));
     }
 }
