--- a/src/main/java/org/spoolline/Controller.java
+++ b/src/main/java/org/spoolline/Controller.java
@@ -17,6 +17,7 @@
 import org.spoolline.settings.Constants;
 import org.spoolline.settings.Settings;
 import org.spoolline.state.StateClient;
+import org.spoolline.upgrade.VersionRegistry;
 import org.spoolline.workers.Heartbeats;
 import org.spoolline.workers.MachineTable;
 
@@ -27,6 +28,7 @@
     private final Leadership leadership;
     private final Catalog catalog;
     private final JobTable jobs = new JobTable();
+    private final VersionRegistry versions;
     private final Intake intake;
     private final Heartbeats heartbeats;
     private final SchedulingCycles cycles;
@@ -39,7 +41,8 @@
         state = new StateClient(loop, http, settings);
         leadership = new Leadership(loop, random, state, settings, this);
         catalog = new Catalog(loop, http, settings, state);
-        intake = new Intake(loop, settings, state, catalog, this::cancelled);
+        versions = new VersionRegistry(loop, state, settings);
+        intake = new Intake(loop, settings, state, catalog, versions, this::cancelled);
         Freshness freshness = new Freshness(loop, settings, leadership);
         MachineTable machines = new MachineTable();
         cycles = new SchedulingCycles(loop, settings, state, leadership, freshness, catalog, machines, jobs);
@@ -89,6 +92,7 @@
 
     public void start() {
         leadership.start();
+        loop.after(Constants.RECORD_VERSION_MS, versions::start);
         catalog.start();
         peers.start();
         probe();
--- a/src/main/java/org/spoolline/intake/Intake.java
+++ b/src/main/java/org/spoolline/intake/Intake.java
@@ -1,9 +1,6 @@
 package org.spoolline.intake;
 
-import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -22,6 +19,7 @@
 import org.spoolline.settings.Constants;
 import org.spoolline.settings.Settings;
 import org.spoolline.state.StateClient;
+import org.spoolline.upgrade.VersionRegistry;
 
 /**
  * The users' side. Any node serves it by committing to the state service itself, and answers only what is committed.
@@ -37,46 +35,39 @@
     private final StateClient state;
     private final Catalog catalog;
     private final Consumer<String> cancelled;
-    private final Map<String, FinalRecord> finals = new Recent<>();
+    private final JobReader reader;
+    private final Ancestors ancestors;
+    private final VersionRegistry versions;
     /** When polls about jobs were last answered here. */
-    private final Map<String, Long> answeredAt = new Recent<>();
+    private final Map<String, Long> answeredAt = new RecentlyUsed<>();
     /** Jobs that were live when last read here. */
-    private final Map<String, Known> live = new Recent<>();
+    private final Map<String, Known> live = new RecentlyUsed<>();
     /** Polls that one transaction without changes is to settle. */
     private final List<Poll> polls = new ArrayList<>();
 
-    /** The most recently used entries, a bounded number. */
-    private static final class Recent<V> extends LinkedHashMap<String, V> {
-        private static final long serialVersionUID = 1L;
-
-        Recent() {
-            super(16, 0.75f, true);
-        }
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<String, V> eldest) {
-            return size() > Constants.JOBS_REMEMBERED;
-        }
-    }
-
-    /** What was last answered about a live job, and the version of the value that said so. */
-    private record Known(long version, byte[] body) {}
+    /**
+     * What was last answered about a live job, the version of the value that said so, and the jobs that it waits for: as
+     * long as there are any, the answer holds only if none of them is cancelled.
+     */
+    private record Known(long version, byte[] body, List<String> prerequisites) {}
 
     private record Poll(String uid, Known known, Consumer<Http.Response> answer) {}
 
-    /** A job as the state service has it. */
-    private record Stored(JsonNode live, long version, FinalRecord last) {
-        boolean known() {
-            return live != null || last != null;
-        }
-    }
-
     /** {@code cancelled} hears of each cancellation that is confirmed here. */
-    public Intake(Loop loop, Settings settings, StateClient state, Catalog catalog, Consumer<String> cancelled) {
+    public Intake(
+            Loop loop,
+            Settings settings,
+            StateClient state,
+            Catalog catalog,
+            VersionRegistry versions,
+            Consumer<String> cancelled) {
         this.loop = loop;
         this.settings = settings;
         this.state = state;
         this.catalog = catalog;
+        this.versions = versions;
+        reader = new JobReader(state);
+        ancestors = new Ancestors(loop, reader, settings.ancestorsRememberedMs());
         this.cancelled = cancelled;
     }
 
@@ -118,8 +109,9 @@
             answer.accept(Http.Response.of(400, Json.error("malformed: " + e.getMessage())));
             return;
         }
-        if (finals.containsKey(job.uid())) {
-            answer.accept(Http.Response.of(200, over(job.uid(), finals.get(job.uid()))));
+        FinalRecord record = reader.knownRecord(job.uid());
+        if (record != null) {
+            answer.accept(Http.Response.of(200, over(job.uid(), record)));
             return;
         }
         if (!catalog.known()) {
@@ -127,42 +119,84 @@
             return;
         }
         String never = neverRuns(job);
-        ObjectNode raw = SubmissionCodec.encode(job);
-        Pipeline pipeline = Pipeline.accept(job, raw, loop.timeOfDay());
-        ObjectNode value = pipeline.encode();
-        if (never == null && Json.bytes(value).length > settings.state().valueBytes() / 2) {
-            answer.accept(Http.Response.of(400, Json.error("malformed: the description is too long")));
-            return;
-        }
+        Pipeline pipeline = Pipeline.accept(job, SubmissionCodec.encode(job), loop.timeOfDay());
         if (never != null) {
-            // A job accepted before must not be turned away now, whatever this node thinks of it.
-            lookUp(job.uid(), answer, stored -> {
-                if (stored.known()) {
-                    answer.accept(Http.Response.of(200, describe(job.uid(), stored)));
-                } else {
-                    answer.accept(Http.Response.of(422, Json.error(never)));
-                }
-            });
-            return;
+            turnAway(job, 422, never, answer);
+        } else if (Json.bytes(pipeline.encode()).length > longestDescription(job)) {
+            turnAway(job, 400, "malformed: the description is over " + longestDescription(job) + " bytes", answer);
+        } else if (job.prerequisites().isEmpty()) {
+            accept(pipeline, answer);
+        } else {
+            submitWaiting(pipeline, answer);
         }
+    }
+
+    /** A job accepted before must not be turned away now, whatever this node thinks of it. */
+    private void turnAway(Submission job, int status, String why, Consumer<Http.Response> answer) {
+        lookUp(job.uid(), answer, stored -> {
+            if (stored.known()) {
+                describe(job.uid(), stored, answer);
+            } else {
+                answer.accept(Http.Response.of(status, Json.error(why)));
+            }
+        });
+    }
+
+    /** Bytes of a new value: attempts need the rest, and a job that waits has none until its prerequisites are dropped. */
+    private int longestDescription(Submission job) {
+        double share = job.prerequisites().isEmpty() ? Constants.DESCRIPTION_SHARE : Constants.VALUE_FILL;
+        return (int) (state.lastingValueBytes() * share);
+    }
+
+    /** A job with prerequisites is accepted once all controllers can read such a job and all that it needs were accepted. */
+    private void submitWaiting(Pipeline pipeline, Consumer<Http.Response> answer) {
+        versions.ask(controllers -> {
+            if (controllers == VersionRegistry.Answer.ALL_UPGRADED) {
+                checkPrerequisites(pipeline, answer);
+            } else {
+                unavailable(answer);
+            }
+        });
+    }
+
+    private void checkPrerequisites(Pipeline pipeline, Consumer<Http.Response> answer) {
+        ancestors.check(pipeline.spec().prerequisites(), verdict -> {
+            switch (verdict) {
+                case NONE_CANCELLED -> accept(pipeline, answer);
+                case CANCELLED -> {
+                    pipeline.cancel();
+                    accept(pipeline, answer);
+                }
+                case NEVER_DONE -> turnAway(
+                        pipeline.spec(), 422, "waitsOn names a job that was never accepted, or a service", answer);
+                case OUT_OF_BUDGET -> busy(answer);
+                case NOT_REACHED -> unavailable(answer);
+            }
+        });
+    }
+
+    private void accept(Pipeline pipeline, Consumer<Http.Response> answer) {
         if (!state.admit(1)) {
             busy(answer);
             return;
         }
+        String uid = pipeline.uid();
+        long sent = loop.now();
         StateClient.Txn txn = new StateClient.Txn()
-                .require(SchedulingCycles.JOBS + job.uid(), 0)
-                .require(SchedulingCycles.FINALS + job.uid(), 0)
-                .put(SchedulingCycles.JOBS + job.uid(), value);
+                .require(SchedulingCycles.JOBS + uid, 0)
+                .require(SchedulingCycles.FINALS + uid, 0)
+                .put(SchedulingCycles.JOBS + uid, pipeline.encode());
         state.commit(txn, outcome -> {
             switch (outcome.fate()) {
                 case APPLIED -> {
-                    LOG.info("accepted {}: {} of {}, {} tasks", job.uid(), job.jobClass(), job.team(), job.tasks());
-                    answer.accept(Http.Response.of(
-                            201, Json.bytes(Json.object().put("uid", job.uid()).put("status", "pending"))));
+                    Submission job = pipeline.spec();
+                    LOG.info("accepted {}: {} of {}, {} tasks", uid, job.jobClass(), job.team(), job.tasks());
+                    ancestors.seen(pipeline, sent);
+                    answer.accept(Http.Response.of(201, pipeline.cancelled() ? aborted(uid) : pending(uid)));
                 }
-                case CONFLICT -> lookUp(job.uid(), answer, stored -> {
+                case CONFLICT -> lookUp(uid, answer, stored -> {
                     if (stored.known()) {
-                        answer.accept(Http.Response.of(200, describe(job.uid(), stored)));
+                        describe(uid, stored, answer);
                     } else {
                         unavailable(answer);
                     }
@@ -179,6 +213,9 @@
             return "unknown team " + job.team();
         }
         int atOnce = job.gang() ? job.tasks() : 1;
+        if (job.prerequisites().contains(job.uid())) {
+            return "the job waits on itself";
+        }
         if (job.cores() * atOnce > team.coresMax() + 1e-6
                 || job.accelerators() * atOnce > team.acceleratorsMax() + 1e-6) {
             return "over the limit of team " + job.team();
@@ -198,9 +235,9 @@
     }
 
     private void poll(String uid, Consumer<Http.Response> answer) {
-        FinalRecord known = finals.get(uid);
-        if (known != null) {
-            answer.accept(Http.Response.of(200, over(uid, known)));
+        FinalRecord record = reader.knownRecord(uid);
+        if (record != null) {
+            answer.accept(Http.Response.of(200, over(uid, record)));
             return;
         }
         if (state.fewRequestsLeft() && live.containsKey(uid)) {
@@ -224,7 +261,7 @@
         }
         lookUp(uid, answer, stored -> {
             if (stored.known()) {
-                answered(uid, describe(uid, stored), answer);
+                describe(uid, stored, answer);
             } else {
                 answer.accept(Http.Response.of(404, Json.error("no such job")));
             }
@@ -262,7 +299,7 @@
                     live.remove(poll.uid());
                     read(poll.uid(), poll.answer());
                 } else {
-                    answered(poll.uid(), poll.known().body(), poll.answer());
+                    answerLive(poll.uid(), poll.known(), poll.answer());
                 }
             }
         });
@@ -310,37 +347,22 @@
     }
 
     /** Reads a job from the truth; the answer is given here when that can't be done. */
-    private void lookUp(String uid, Consumer<Http.Response> answer, Consumer<Stored> found) {
-        if (!state.admit(0)) {
-            busy(answer);
-            return;
-        }
-        state.get(SchedulingCycles.JOBS + uid, live -> {
-            if (!live.reached()) {
-                unavailable(answer);
-            } else if (live.item().exists()) {
-                found.accept(new Stored(live.item().value(), live.item().version(), null));
+    private void lookUp(String uid, Consumer<Http.Response> answer, Consumer<StoredJob> found) {
+        reader.read(uid, JobReader.receiver(found, failure -> {
+            if (failure == JobReader.Failure.OUT_OF_BUDGET) {
+                busy(answer);
             } else {
-                state.force(0);
-                state.get(SchedulingCycles.FINALS + uid, last -> {
-                    if (!last.reached()) {
-                        unavailable(answer);
-                    } else if (last.item().exists()) {
-                        FinalRecord record = FinalRecord.decode(last.item().value());
-                        finals.put(uid, record);
-                        found.accept(new Stored(null, 0, record));
-                    } else {
-                        found.accept(new Stored(null, 0, null));
-                    }
-                });
+                unavailable(answer);
             }
-        });
+        }));
     }
 
-    private byte[] describe(String uid, Stored stored) {
+    /** Answers with the state of a job that is known. */
+    private void describe(String uid, StoredJob stored, Consumer<Http.Response> answer) {
         if (stored.last() != null) {
             live.remove(uid);
-            return over(uid, stored.last());
+            answered(uid, over(uid, stored.last()), answer);
+            return;
         }
         Pipeline pipeline = Pipeline.decode(stored.live());
         int running = pipeline.attempts().size();
@@ -351,8 +373,28 @@
                         .put("status", running > 0 ? "running" : "pending")
                         .put("done", pipeline.doneCount())
                         .put("running", running));
-        live.put(uid, new Known(stored.version(), body));
-        return body;
+        List<String> prerequisites =
+                pipeline.cancelled() ? List.of() : pipeline.spec().prerequisites();
+        Known known = new Known(stored.version(), body, prerequisites);
+        live.put(uid, known);
+        answerLive(uid, known, answer);
+    }
+
+    /** A job that waits is cancelled with any job that it needs, also while no leader has written so. */
+    private void answerLive(String uid, Known known, Consumer<Http.Response> answer) {
+        if (known.prerequisites().isEmpty()) {
+            answered(uid, known.body(), answer);
+            return;
+        }
+        ancestors.check(known.prerequisites(), verdict -> {
+            switch (verdict) {
+                case NONE_CANCELLED -> answered(uid, known.body(), answer);
+                    // Committed first: other nodes may remember for a while that no prerequisite was cancelled.
+                case CANCELLED -> cancel(uid, Constants.CANCEL_TRIES, answer);
+                case OUT_OF_BUDGET -> busy(answer);
+                default -> unavailable(answer);
+            }
+        });
     }
 
     private static byte[] over(String uid, FinalRecord record) {
@@ -363,6 +405,10 @@
                 .put("running", 0));
     }
 
+    private static byte[] pending(String uid) {
+        return Json.bytes(Json.object().put("uid", uid).put("status", "pending"));
+    }
+
     private static byte[] aborted(String uid) {
         return Json.bytes(Json.object().put("uid", uid).put("status", "aborted"));
     }
--- a/src/main/java/org/spoolline/pipeline/Cekk.java
+++ b/src/main/java/org/spoolline/pipeline/Cekk.java
@@ -130,6 +130,8 @@
             f.flows().forEach(this::cancel);
         } else if (flow instanceof Flow.Or o) {
             o.flows().forEach(this::cancel);
+        } else if (flow instanceof Flow.OrClosure c) {
+            cancel(c.rest());
         }
     }
 
--- a/src/main/java/org/spoolline/pipeline/Pipeline.java
+++ b/src/main/java/org/spoolline/pipeline/Pipeline.java
@@ -20,14 +20,21 @@
  * The activity is the job itself; an array's tasks are a fork too wide for a frame each, so its join is kept as a low
  * mark plus a bitmap of a bounded window (all tasks below the mark are done), which fits any width into one value.
  *
+ * <p>A job with prerequisites begins with a fork over them (F1) whose branches end as those jobs do; the join (J2) goes on
+ * to the tasks. The join's count is not stored: the lasting records of the prerequisites are the truth, and whoever leads
+ * steps the stored start by them. Once all are done, the value is that of a job without prerequisites.
+ *
  * <p>Mutable while a cycle of decisions works on its own {@link #copy}; the confirmed one is never changed.
  */
 public final class Pipeline {
     private static final String ACTIVITY = "tasks";
+    /** The join of the fork over the prerequisites. */
+    private static final String PREREQUISITES_JOIN = "prerequisites";
 
-    private final Submission spec;
-    private final JsonNode rawSpec;
-    private final long acceptedAt;
+    private Submission spec;
+    private JsonNode rawSpec;
+    private final long submittedAt;
+    private long releasedAt;
     private boolean cancelled;
     private Cekk.State cekk;
     private int low;
@@ -43,7 +50,8 @@
     private Pipeline(
             Submission spec,
             JsonNode rawSpec,
-            long acceptedAt,
+            long submittedAt,
+            long releasedAt,
             boolean cancelled,
             Cekk.State cekk,
             int low,
@@ -55,7 +63,8 @@
             Set<String> avoided) {
         this.spec = spec;
         this.rawSpec = rawSpec;
-        this.acceptedAt = acceptedAt;
+        this.submittedAt = submittedAt;
+        this.releasedAt = releasedAt;
         this.cancelled = cancelled;
         this.cekk = cekk;
         this.low = low;
@@ -67,14 +76,15 @@
         this.avoided = avoided;
     }
 
-    /** A new pipeline; {@code acceptedAt} is the time of day in milliseconds. */
-    public static Pipeline accept(Submission spec, JsonNode rawSpec, long acceptedAt) {
+    /** A new pipeline; {@code submittedAt} is the time of day in milliseconds. */
+    public static Pipeline accept(Submission spec, JsonNode rawSpec, long submittedAt) {
         return new Pipeline(
                 spec,
                 rawSpec,
-                acceptedAt,
+                submittedAt,
+                submittedAt,
                 false,
-                enacted(),
+                enacted(spec.prerequisites()),
                 0,
                 new BitSet(),
                 0,
@@ -89,19 +99,27 @@
         return new Int2ObjectHashMap<>(Constants.FEW_ATTEMPTS, Hashing.DEFAULT_LOAD_FACTOR, false);
     }
 
-    /** The job's activity under an or-closure that regenerates itself: a users' job is never called failed. */
-    private static Cekk.State enacted() {
+    /**
+     * The job's activity under an or-closure that regenerates itself: a users' job is never called failed. Before it, a
+     * fork over the prerequisites, whose branches have an empty failure stack: if one fails, the tasks are cancelled.
+     */
+    private static Cekk.State enacted(List<String> prerequisites) {
         Flow.Activity job = new Flow.Activity(ACTIVITY);
-        Stack endless =
-                Stack.BOTTOM.push(new Flow.OrClosure(new Flow.Or(List.of(job)), Stack.BOTTOM, Stack.BOTTOM, true));
-        return Cekk.start(job, endless);
+        Flow endless = new Flow.OrClosure(new Flow.Or(List.of(job)), Stack.BOTTOM, Stack.BOTTOM, true);
+        if (prerequisites.isEmpty()) {
+            return Cekk.start(job, Stack.BOTTOM.push(endless));
+        }
+        List<Flow> needed = new ArrayList<>();
+        prerequisites.forEach(uid -> needed.add(new Flow.Activity(uid)));
+        return Cekk.start(new Flow.Seq(List.of(new Flow.Fork(PREREQUISITES_JOIN, needed), endless)));
     }
 
     public Pipeline copy() {
         return new Pipeline(
                 spec,
                 rawSpec,
-                acceptedAt,
+                submittedAt,
+                releasedAt,
                 cancelled,
                 cekk,
                 low,
@@ -121,8 +139,40 @@
         return spec.uid();
     }
 
-    public long acceptedAt() {
-        return acceptedAt;
+    /** Time of day of the submission, in ms: the deadline counts from it. */
+    public long submittedAt() {
+        return submittedAt;
+    }
+
+    /** Time of day in ms from which the job waits for room: of the submission, or of the end of its last prerequisite. */
+    public long releasedAt() {
+        return releasedAt;
+    }
+
+    /** True while the job waits for prerequisites: it has no attempt and takes nothing of its team's share. */
+    public boolean waiting() {
+        return !spec.prerequisites().isEmpty();
+    }
+
+    /** Every prerequisite is done: their branches join, which pops the success stack to the tasks. */
+    public void release(long timeOfDay) {
+        for (String uid : spec.prerequisites()) {
+            cekk = Cekk.succeeded(cekk, uid);
+        }
+        if (!cekk.active().equals(List.of(ACTIVITY))) {
+            throw new IllegalStateException(uid() + " does not go on to its tasks");
+        }
+        // The environment of a join that is over is of no more use, and would take room in the value.
+        cekk = enacted(List.of());
+        spec = spec.withoutPrerequisites();
+        rawSpec = SubmissionCodec.encode(spec);
+        releasedAt = timeOfDay;
+    }
+
+    /** A prerequisite was cancelled: its branch fails, and with no other way left the tasks are cancelled. */
+    public void prerequisiteCancelled(String uid) {
+        cekk = Cekk.failed(cekk, uid);
+        cancelled |= cekk.failing();
     }
 
     public boolean cancelled() {
@@ -279,13 +329,20 @@
 
     /** The stored form. */
     public ObjectNode encode() {
-        ObjectNode value = Json.object().put("ver", Constants.PIPELINE_VERSION);
+        int version = waiting() ? Constants.PIPELINE_VERSION_WAITING : Constants.PIPELINE_VERSION;
+        ObjectNode value = Json.object().put("ver", version);
         value.set("job", rawSpec);
-        value.put("at", acceptedAt);
-        value.set("k", StackCodec.encode(cekk));
+        value.put("at", releasedAt);
         if (cancelled) {
             value.put("cancelled", true);
         }
+        if (waiting()) {
+            return value;
+        }
+        if (submittedAt != releasedAt) {
+            value.put("sub", submittedAt);
+        }
+        value.set("k", StackCodec.encode(cekk));
         value.put("low", low);
         if (!window.isEmpty()) {
             value.put("win", Base64.getEncoder().withoutPadding().encodeToString(window.toByteArray()));
@@ -305,8 +362,11 @@
         return value;
     }
 
-    /** Reads the stored form, of this version or of the one before. */
+    /** Reads the stored form, of any version that was ever written. */
     public static Pipeline decode(JsonNode value) {
+        if (value.path("ver").asInt() == Constants.PIPELINE_VERSION_WAITING) {
+            return decodeWaiting(value);
+        }
         Int2ObjectHashMap<Attempt> attempts = noAttempts();
         long last = value.path("n").asLong();
         switch (value.path("ver").asInt()) {
@@ -323,6 +383,7 @@
         return new Pipeline(
                 SubmissionCodec.trusted(raw),
                 raw,
+                value.path("sub").asLong(value.path("at").asLong()),
                 value.path("at").asLong(),
                 saysCancelled(value),
                 StackCodec.decode(value.path("k")),
@@ -335,6 +396,18 @@
                 avoided);
     }
 
+    /** A job that waits for prerequisites: its submission says all, and where it stands is derived from other jobs. */
+    private static Pipeline decodeWaiting(JsonNode value) {
+        JsonNode raw = value.path("job");
+        Submission spec = SubmissionCodec.trusted(raw);
+        if (spec.prerequisites().isEmpty()) {
+            throw new IllegalArgumentException("stored pipeline waits for nothing");
+        }
+        Pipeline waiting = accept(spec, raw, value.path("at").asLong());
+        waiting.cancelled = saysCancelled(value);
+        return waiting;
+    }
+
     /** The earlier form: a group is an array of machine, session, number and runs of tasks as text. */
     private static void decodeRuns(JsonNode groups, Int2ObjectHashMap<Attempt> attempts) {
         for (JsonNode group : groups) {
--- a/src/main/java/org/spoolline/pipeline/Submission.java
+++ b/src/main/java/org/spoolline/pipeline/Submission.java
@@ -1,8 +1,13 @@
 package org.spoolline.pipeline;
 
+import java.util.List;
 import java.util.Set;
 
-/** What a user asked for, checked. {@code builds} is null for any machine type, {@code zone} for any zone. */
+/**
+ * What a user asked for, checked. {@code types} is null for any machine type, {@code zone} for any zone.
+ *
+ * @param prerequisites ids of the jobs that must be done before any task of this one starts, each once
+ */
 public record Submission(
         String uid,
         String jobClass,
@@ -23,7 +28,8 @@
         double estimateS,
         double checkpointS,
         double saveS,
-        Double deadlineS) {
+        Double deadlineS,
+        List<String> prerequisites) {
 
     /** Independent tasks; tasks that run together or not at all; tasks kept running until the user cancels. */
     public enum Shape {
@@ -44,6 +50,32 @@
         return shape == Shape.GANG;
     }
 
+    /** The same job without prerequisites, once they are all done. */
+    Submission withoutPrerequisites() {
+        return new Submission(
+                uid,
+                jobClass,
+                team,
+                shape,
+                priority,
+                tasks,
+                cores,
+                accelerators,
+                memoryGb,
+                image,
+                imageGb,
+                types,
+                zone,
+                oneZone,
+                spread,
+                spot,
+                estimateS,
+                checkpointS,
+                saveS,
+                deadlineS,
+                List.of());
+    }
+
     /** A task that saves its progress when it is stopped with enough grace. */
     public boolean saves() {
         return checkpointS > 0;
--- a/src/main/java/org/spoolline/pipeline/SubmissionCodec.java
+++ b/src/main/java/org/spoolline/pipeline/SubmissionCodec.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Set;
 import java.util.regex.Pattern;
 import org.spoolline.net.Json;
@@ -11,6 +12,7 @@
 
 /** A submission's wire form: checked on the way in, kept in the stored value by the same names. */
 public final class SubmissionCodec {
+    private static final String PREREQUISITES = "waitsOn";
     private static final Pattern UID = Pattern.compile("run-[0-9]{1,30}");
 
     /** The submission is malformed; the message names the field. */
@@ -104,7 +106,8 @@
                 amount(in, "expectS"),
                 amount(in, "bookmarkS"),
                 amount(in, "stashS"),
-                due);
+                due,
+                prerequisites(in.path(PREREQUISITES)));
     }
 
     /** The compact stored form: the known fields only. */
@@ -143,6 +146,10 @@
         if (s.deadlineS() != null) {
             out.put("dueS", s.deadlineS());
         }
+        if (!s.prerequisites().isEmpty()) {
+            ArrayNode prerequisites = out.putArray(PREREQUISITES);
+            s.prerequisites().forEach(prerequisites::add);
+        }
         return out;
     }
 
@@ -155,6 +162,24 @@
         }
     }
 
+    /** The ids of the jobs to wait for, each once; null, absent and empty all mean none. */
+    private static List<String> prerequisites(JsonNode in) throws Malformed {
+        if (absent(in)) {
+            return List.of();
+        }
+        if (!in.isArray()) {
+            throw new Malformed(PREREQUISITES);
+        }
+        Set<String> uids = new LinkedHashSet<>();
+        for (JsonNode uid : in) {
+            if (!uid.isTextual() || !validUid(uid.asText())) {
+                throw new Malformed(PREREQUISITES);
+            }
+            uids.add(uid.asText());
+        }
+        return List.copyOf(uids);
+    }
+
     private static boolean absent(JsonNode node) {
         return node.isMissingNode() || node.isNull();
     }
--- a/src/main/java/org/spoolline/placement/ClusterSnapshot.java
+++ b/src/main/java/org/spoolline/placement/ClusterSnapshot.java
@@ -7,6 +7,7 @@
 import org.spoolline.fleet.MachineType;
 import org.spoolline.pipeline.Attempt;
 import org.spoolline.pipeline.Pipeline;
+import org.spoolline.pipeline.Submission;
 import org.spoolline.settings.Constants;
 import org.spoolline.settings.Settings;
 import org.spoolline.workers.Machine;
@@ -19,6 +20,7 @@
  * @param placeable   ids of jobs that may be changed in this cycle
  * @param reserved   machines that are being cleared, with the job they are cleared for
  * @param warm        ids of gangs for which machines with their image have been cleared, once each
+ * @param inherited   the highest priority among the waiting jobs that need a job, for those that are needed
  * @param usable      machines that take work now
  * @param mayVacate   true when machines emptied in favour of others have had the time to be
  */
@@ -30,6 +32,7 @@
         List<Machine> usable,
         Map<String, String> reserved,
         Set<String> warm,
+        Map<String, Submission.Priority> inherited,
         Map<String, MachineType> types,
         Settings settings,
         boolean mayVacate,
@@ -42,10 +45,17 @@
         return union == null ? job.attempts() : union;
     }
 
-    /** Cores that the jobs accepted lately have asked for: room for as much is kept free. */
+    /** A job that others wait for counts as urgent as the most urgent of them. */
+    Submission.Priority priority(Pipeline job) {
+        Submission.Priority own = job.spec().priority();
+        Submission.Priority ofDependents = inherited.getOrDefault(job.uid(), own);
+        return ofDependents.compareTo(own) > 0 ? ofDependents : own;
+    }
+
+    /** Cores that the jobs released lately have asked for: room for as much is kept free. */
     static double askedCores(Collection<Pipeline> jobs, long timeOfDay) {
         return jobs.stream()
-                .filter(p -> p.acceptedAt() > timeOfDay - Constants.ASKED_MS)
+                .filter(p -> p.releasedAt() > timeOfDay - Constants.ASKED_MS)
                 .mapToDouble(p -> p.spec().cores() * p.spec().tasks())
                 .sum();
     }
--- a/src/main/java/org/spoolline/placement/Placer.java
+++ b/src/main/java/org/spoolline/placement/Placer.java
@@ -86,7 +86,7 @@
             }
         }
         List<Pipeline> byRelease = new ArrayList<>(snapshot.jobs());
-        byRelease.sort(Comparator.comparingLong(Pipeline::acceptedAt).thenComparing(Pipeline::uid));
+        byRelease.sort(Comparator.comparingLong(Pipeline::releasedAt).thenComparing(Pipeline::uid));
         within = within(byRelease, snapshot.settings());
         preemption = new Preemption(snapshot, nodes, within, teamUse);
         for (Pipeline job : inOrder(byRelease, within)) {
@@ -106,7 +106,7 @@
 
     /** True for a job that has waited long and of which nothing has begun. */
     private boolean aged(Pipeline job) {
-        return !job.begun() && snapshot.timeOfDay() - job.acceptedAt() > Constants.AGED_MS;
+        return !job.begun() && snapshot.timeOfDay() - job.releasedAt() > Constants.AGED_MS;
     }
 
     /**
@@ -117,7 +117,7 @@
         List<Pipeline> ordered = new ArrayList<>(byRelease);
         ordered.sort(Comparator.<Pipeline>comparingInt(j -> aged(j) ? 0 : 1)
                 .thenComparingInt(j -> within.contains(j.uid()) ? 0 : 1)
-                .thenComparing(j -> j.spec().priority(), Comparator.reverseOrder()));
+                .thenComparing(snapshot::priority, Comparator.reverseOrder()));
         return ordered;
     }
 
@@ -146,7 +146,7 @@
         boolean aged = aged(job);
         // An aged array begins with one task; with that it is in its usual place again.
         int allowed = Math.min(aged && !spec.gang() ? 1 : ready, closed.contains(spec.team()) ? 0 : headroom(spec));
-        boolean gathers = aged && spec.gang() && snapshot.timeOfDay() - job.acceptedAt() < Constants.GATHER_UNTIL_MS;
+        boolean gathers = aged && spec.gang() && snapshot.timeOfDay() - job.releasedAt() < Constants.GATHER_UNTIL_MS;
         if (gathers && allowed < ready) {
             closed.add(spec.team());
         }
@@ -182,7 +182,7 @@
             chosen.forEach(n -> n.release(spec));
             chosen = List.of();
         }
-        if (!mending && Preemption.urgentGang(job) && waitsForWarmPlaces(job, chosen)) {
+        if (!mending && preemption.urgentGang(job) && waitsForWarmPlaces(job, chosen)) {
             chosen.forEach(n -> n.release(spec));
             return;
         }
--- a/src/main/java/org/spoolline/placement/Preemption.java
+++ b/src/main/java/org/spoolline/placement/Preemption.java
@@ -117,8 +117,8 @@
         clearings.add(new Placer.Clearing(job.uid(), machines, leaving, warm));
     }
 
-    static boolean urgentGang(Pipeline job) {
-        return job.spec().gang() && job.spec().priority().compareTo(Submission.Priority.URGENT) >= 0;
+    boolean urgentGang(Pipeline job) {
+        return job.spec().gang() && snapshot.priority(job).compareTo(Submission.Priority.URGENT) >= 0;
     }
 
     /** Notes whoever might have to leave; without an urgent gang that is only savers beyond a guarantee. */
@@ -244,7 +244,7 @@
         if (victim.spec().gang() || victim.uid().equals(job.uid())) {
             return false;
         }
-        boolean lower = victim.spec().priority().compareTo(job.spec().priority()) < 0;
+        boolean lower = snapshot.priority(victim).compareTo(snapshot.priority(job)) < 0;
         boolean beyond = !victim.spec().team().equals(job.spec().team())
                 && !within.contains(victim.uid())
                 && borrowed.getOrDefault(victim.spec().team(), 0.0)
@@ -259,7 +259,7 @@
         List<Victim> leaving = new ArrayList<>();
         double cost = spec.cores() * node.fetchS(spec);
         List<Victim> here = new ArrayList<>(victims.getOrDefault(node.machine.name(), List.of()));
-        here.removeIf(v -> v.job().spec().priority().compareTo(spec.priority()) >= 0);
+        here.removeIf(v -> snapshot.priority(v.job()).compareTo(snapshot.priority(job)) >= 0);
         if (here.size() > 1) {
             here.sort(Comparator.comparingDouble(Victim::loss));
         }
--- a/src/main/java/org/spoolline/placement/SchedulingCycles.java
+++ b/src/main/java/org/spoolline/placement/SchedulingCycles.java
@@ -14,6 +14,7 @@
 import org.spoolline.fleet.Catalog;
 import org.spoolline.fleet.Fleet;
 import org.spoolline.fleet.MachineType;
+import org.spoolline.intake.FinalRecord;
 import org.spoolline.leadership.Freshness;
 import org.spoolline.leadership.Leadership;
 import org.spoolline.net.Json;
@@ -51,6 +52,7 @@
     private final MachineTable machines;
     private final JobTable jobs;
     private final Writes writes;
+    private final Dependencies dependencies;
     private Fleet fleet;
     private CycleListener cycleListener;
 
@@ -117,7 +119,8 @@
         this.catalog = catalog;
         this.machines = machines;
         this.jobs = jobs;
-        writes = new Writes(loop, settings, state, leadership, jobs, new Stored());
+        writes = new Writes(loop, state, leadership, jobs, new Stored());
+        dependencies = new Dependencies(loop, state, jobs, this::requestCycle);
         pacer = new CyclePacer(loop, settings, this::runCycle);
     }
 
@@ -135,6 +138,7 @@
         pacer.begin();
         freshness.begin();
         writes.begin(token);
+        dependencies.begin(token);
         jobs.clear();
         machines.clear();
         stops.clear();
@@ -154,6 +158,7 @@
     public void deposed() {
         term = 0;
         writes.begin(0);
+        dependencies.begin(0);
         loaded = false;
         jobs.clear();
         stops.clear();
@@ -293,19 +298,28 @@
             sweptAt = loop.now();
         }
         noteNews();
+        dependencies.refresh();
         Map<String, Pipeline> working = new LinkedHashMap<>();
         Map<String, Writes.Change> changes = new LinkedHashMap<>();
         for (JobTable.Entry entry : jobs.entries()) {
             String uid = entry.confirmed().uid();
             if (entry.inFlight()) {
-                working.put(uid, entry.proposed());
+                putUnlessWaiting(working, entry.proposed());
+                continue;
+            }
+            if (entry.confirmed().waiting() && !entry.cancelled()) {
+                if (dependencies.verdictOf(entry.confirmed()) != Dependencies.Verdict.WAITS) {
+                    Pipeline next = dependencies.step(entry.confirmed());
+                    putUnlessWaiting(working, next);
+                    changes.put(uid, new Writes.Change(entry, next));
+                }
                 continue;
             }
             Collection<Attempt> due = sweep || evaluatedWhole(entry)
                     ? entry.confirmed().attempts()
                     : unsettled.getOrDefault(uid, Set.of());
             Pipeline next = due.isEmpty() && !entry.confirmed().cancelled() ? null : tryToEvaluate(entry, due);
-            working.put(uid, next == null ? entry.confirmed() : next);
+            putUnlessWaiting(working, next == null ? entry.confirmed() : next);
             if (next == null) {
                 unsettled.remove(uid);
             } else {
@@ -348,6 +362,13 @@
         tell(writes.settled() && all);
     }
 
+    /** Jobs that wait for others take no part in the plan. */
+    private static void putUnlessWaiting(Map<String, Pipeline> working, Pipeline job) {
+        if (!job.waiting()) {
+            working.put(job.uid(), job);
+        }
+    }
+
     /** What machines have reported concerns their attempts; it is judged until a write has settled it. */
     private void noteNews() {
         for (Machine machine : heard) {
@@ -649,6 +670,7 @@
                 usable,
                 reserved,
                 warm,
+                dependencies.inheritedPriorities(),
                 catalog.types(),
                 settings,
                 loop.now() - vacatedAt >= Constants.VACATE_MS,
@@ -699,7 +721,7 @@
             useImage(p.machine(), spec);
         }
         // The value has a limit; what does not fit waits for the next cycles, and completions always fit.
-        int limit = (int) (settings.state().valueBytes() * Constants.VALUE_FILL);
+        int limit = (int) (state.lastingValueBytes() * Constants.VALUE_FILL);
         while (!added.isEmpty() && Json.bytes(next.encode()).length > limit) {
             int drop = spec.gang() ? added.size() : (added.size() + 1) / 2;
             for (int i = 0; i < drop; i++) {
@@ -745,6 +767,7 @@
             if (change.over()) {
                 LOG.info("{} is over: {}", next.uid(), next.finished() ? "done" : "cancelled");
                 jobs.drop(next.uid(), revision);
+                dependencies.recorded(next.uid(), FinalRecord.of(next));
                 stops.remove(next.uid());
                 afterMates.remove(next.uid());
                 warm.remove(next.uid());
--- a/src/main/java/org/spoolline/placement/Writes.java
+++ b/src/main/java/org/spoolline/placement/Writes.java
@@ -17,7 +17,6 @@
 import org.spoolline.pipeline.Pipeline;
 import org.spoolline.pipeline.Submission;
 import org.spoolline.settings.Constants;
-import org.spoolline.settings.Settings;
 import org.spoolline.state.StateClient;
 
 /**
@@ -65,7 +64,6 @@
     }
 
     private final Loop loop;
-    private final Settings settings;
     private final StateClient state;
     private final Leadership leadership;
     private final JobTable jobs;
@@ -74,12 +72,13 @@
     private int inFlight;
     /** Since when a job's change has waited for the state budget. */
     private final Map<String, Long> unwrittenSince = new HashMap<>();
+    /** Jobs whose value the service refused by itself, with the time until which it is not sent again. */
+    private final Map<String, Long> pausedUntil = new HashMap<>();
     /** Jobs of a refused transaction: each is written by itself until that succeeds, lest one of them stops the rest. */
     private final Set<String> alone = new HashSet<>();
 
-    Writes(Loop loop, Settings settings, StateClient state, Leadership leadership, JobTable jobs, Listener listener) {
+    Writes(Loop loop, StateClient state, Leadership leadership, JobTable jobs, Listener listener) {
         this.loop = loop;
-        this.settings = settings;
         this.state = state;
         this.leadership = leadership;
         this.jobs = jobs;
@@ -92,6 +91,7 @@
         inFlight = 0;
         unwrittenSince.clear();
         alone.clear();
+        pausedUntil.clear();
     }
 
     /** True when nothing is under way. */
@@ -124,9 +124,14 @@
             ObjectNode value = over
                     ? FinalRecord.of(change.next()).encode()
                     : change.next().encode();
-            int size = over ? Constants.FINAL_BYTES : Json.bytes(value).length + Constants.FRAME_BYTES;
+            int valueBytes = Json.bytes(value).length;
+            if (valueBytes > state.limits().valueBytes()) {
+                // A value of before the limits were lowered: it is written once enough of its tasks have ended.
+                continue;
+            }
+            int size = over ? Constants.FINAL_BYTES : valueBytes + Constants.FRAME_BYTES;
             boolean apart = alone.contains(change.uid()) && !batch.isEmpty();
-            if (apart || ops + cost > settings.state().txnOps() || bytes + size > Constants.TXN_BYTES) {
+            if (apart || ops + cost > state.limits().txnOps() || bytes + size > Constants.TXN_BYTES) {
                 send(batch, ops);
                 batch = new ArrayList<>();
                 ops = 0;
@@ -153,8 +158,12 @@
         long now = loop.now();
         boolean low = state.runsLow();
         unwrittenSince.keySet().retainAll(changes.keySet());
+        pausedUntil.values().removeIf(until -> until <= now);
         List<Ranked> ordered = new ArrayList<>();
         for (Change change : changes.values()) {
+            if (pausedUntil.containsKey(change.uid())) {
+                continue;
+            }
             unwrittenSince.putIfAbsent(change.uid(), now);
             long since = unwrittenSince.get(change.uid());
             int rank = rank(change, now - since);
@@ -219,13 +228,20 @@
                 return;
             }
             inFlight--;
-            if (fate == StateClient.Fate.APPLIED) {
+            if (unsure && fate == StateClient.Fate.TOO_LARGE) {
+                // The limits were lowered after an earlier copy was sent: only the store tells what became of that one.
+                batch.forEach(change -> reread(change, mine));
+            } else if (fate == StateClient.Fate.APPLIED) {
                 batch.forEach(change -> alone.remove(change.uid()));
                 batch.forEach(change -> listener.applied(change, outcome.revision()));
             } else if (fate == StateClient.Fate.CONFLICT) {
                 conflict(batch, outcome.failed(), mine);
             } else {
                 LOG.info("a transaction of {} jobs was refused: {}", batch.size(), fate);
+                if (fate == StateClient.Fate.TOO_LARGE && batch.size() == 1) {
+                    // Sent again unchanged it would be refused for ever; by then some of its tasks may have ended.
+                    pausedUntil.put(batch.get(0).uid(), loop.now() + Constants.REFUSED_VALUE_MS);
+                }
                 if (fate != StateClient.Fate.REFUSED) {
                     batch.forEach(change -> alone.add(change.uid()));
                 }
--- a/src/main/java/org/spoolline/settings/Constants.java
+++ b/src/main/java/org/spoolline/settings/Constants.java
@@ -91,6 +91,8 @@
     public static final int TXNS_IN_FLIGHT = 4;
     /** Ms a node may be without the state service before it calls itself unable to serve. */
     public static final long STATE_LOST_MS = 4_000;
+    /** Ms after its start in which a node leaves the record of its version to more urgent requests. */
+    public static final long RECORD_VERSION_MS = 2_000;
     /** Ms between two looks at the peers. */
     public static final long PEER_PING_MS = 2_000;
     /** Ms a peer may take to answer. */
@@ -150,6 +152,8 @@
     public static final long ENDS_WAIT_MS = 1_000;
     /** Ms that a change may wait for the state budget before it goes first, whatever it is. */
     public static final long WRITE_PATIENCE_MS = 2_000;
+    /** Ms for which a value that the state service refused by itself is not sent again: nothing but its shrinking helps. */
+    public static final long REFUSED_VALUE_MS = 5_000;
     /** Ms between two cycles that judge every attempt: time alone proves silence, and nothing else marks it. */
     public static final long SWEEP_MS = 2_000;
     /** Odd factor that spreads hashes of neighbouring names over the whole range: 2^32 by the golden ratio. */
@@ -160,6 +164,11 @@
     public static final int PIPELINE_VERSION = 2;
     /** The version before, still read: its attempts took three times the room. */
     public static final int PIPELINE_VERSION_BEFORE = 1;
+    /**
+     * Version of the value of a job that waits for prerequisites. Its own, so that a controller from before them refuses
+     * to read it instead of starting its tasks too early.
+     */
+    public static final int PIPELINE_VERSION_WAITING = 3;
     /** Tasks of a job at most, by the protocol. */
     public static final int MAX_TASKS = 100_000;
     /** Characters of a name in a submission: keeps the stored value well within its limit. */
@@ -168,6 +177,10 @@
     public static final int MAX_ORDERS = 400;
     /** Tasks past the first unfinished one that may be active: bounds the stored join. */
     public static final int JOIN_WINDOW = 8192;
+    /** Part of cancel_s for which it is remembered that a job was not cancelled: the rest covers late answers and drift. */
+    public static final int ANCESTORS_REMEMBERED_PART = 3;
+    /** Share of the value limit that the value of a new job may fill: attempts and ends need the rest. */
+    public static final double DESCRIPTION_SHARE = 0.5;
     /** Share of the value limit that new placements may fill; completions need the rest. */
     public static final double VALUE_FILL = 0.85;
     /** Ms for which a job whose value is full gets no more room: by then some of its tasks will have completed. */
--- a/src/main/java/org/spoolline/settings/Settings.java
+++ b/src/main/java/org/spoolline/settings/Settings.java
@@ -34,8 +34,24 @@
     /** Times of the workers, in milliseconds. */
     public record Workers(long reportMs, long leaseMs, long gangWaitMs, long gangPeerMs, long cancelMs) {}
 
-    /** Limits of the state service. */
-    public record State(double requestsPerS, double writesPerS, int valueBytes, int txnOps) {}
+    /**
+     * Limits of the state service.
+     *
+     * @param next the limits that it will have from some moment on, without notice; null when none are announced
+     */
+    public record State(double requestsPerS, double writesPerS, int valueBytes, int txnOps, State next) {
+        /** The least of what holds now and what is announced. */
+        public State lowered() {
+            return next == null
+                    ? this
+                    : new State(
+                            Math.min(requestsPerS, next.requestsPerS),
+                            Math.min(writesPerS, next.writesPerS),
+                            Math.min(valueBytes, next.valueBytes),
+                            Math.min(txnOps, next.txnOps),
+                            null);
+        }
+    }
 
     /** Limits of the cloud. */
     public record Cloud(double requestsPerS, long listLagMs) {}
@@ -130,6 +146,14 @@
         return Math.max(0, workers.cancelMs() - workers.leaseMs() - leadershipMs() - Constants.CANCEL_RESERVE_MS);
     }
 
+    /**
+     * Ms for which a node may remember that a job was not cancelled when it was last read: an answer about a job that needs
+     * it is then well within cancel_s of any cancellation that it misses.
+     */
+    public long ancestorsRememberedMs() {
+        return workers.cancelMs() / Constants.ANCESTORS_REMEMBERED_PART;
+    }
+
     /** Ms after which a worker not answered has ended all its tasks, with drift and margin. */
     public long silenceMs() {
         return (long) (workers.leaseMs() * (1 + Constants.DRIFT)) + Constants.MARGIN_MS;
--- a/src/main/java/org/spoolline/settings/SettingsFile.java
+++ b/src/main/java/org/spoolline/settings/SettingsFile.java
@@ -92,11 +92,7 @@
                         millis(w, at, "gang_wait_s"),
                         millis(w, at, "gang_peer_s"),
                         millis(w, at, "cancel_s")),
-                new Settings.State(
-                        positive(s, "cluster.state.", "rps"),
-                        positive(s, "cluster.state.", "write_rps"),
-                        (int) (positive(s, "cluster.state.", "value_kb") * 1024),
-                        (int) positive(s, "cluster.state.", "txn_ops")),
+                stateLimits(s),
                 new Settings.Cloud(positive(c, "cluster.cloud.", "rps"), millis(c, "cluster.cloud.", "list_lag_s")),
                 new Settings.Quota(
                         number(q, "cluster.quota.", "cpu_share"), number(q, "cluster.quota.", "ram_mb"), (int)
@@ -109,6 +105,35 @@
         return settings;
     }
 
+    private static Settings.State stateLimits(JsonNode s) throws SettingsException {
+        String at = "cluster.state.";
+        Settings.State now = new Settings.State(
+                positive(s, at, "rps"),
+                positive(s, at, "write_rps"),
+                (int) (positive(s, at, "value_kb") * 1024),
+                (int) positive(s, at, "txn_ops"),
+                null);
+        return new Settings.State(
+                now.requestsPerS(), now.writesPerS(), now.valueBytes(), now.txnOps(), announced(s.path("next"), now));
+    }
+
+    /** The limits announced for later; a field that is not given stays as it is. */
+    private static Settings.State announced(JsonNode next, Settings.State now) throws SettingsException {
+        if (next.isMissingNode()) {
+            return null;
+        }
+        if (!next.isObject()) {
+            throw new SettingsException("settings field cluster.state.next is not a table: " + next);
+        }
+        String at = "cluster.state.next.";
+        return new Settings.State(
+                next.has("rps") ? positive(next, at, "rps") : now.requestsPerS(),
+                next.has("write_rps") ? positive(next, at, "write_rps") : now.writesPerS(),
+                next.has("value_kb") ? (int) (positive(next, at, "value_kb") * 1024) : now.valueBytes(),
+                next.has("txn_ops") ? (int) positive(next, at, "txn_ops") : now.txnOps(),
+                null);
+    }
+
     private static JsonNode object(JsonNode in, String at, String name) throws SettingsException {
         JsonNode value = in.path(name);
         if (!value.isObject()) {
--- a/src/main/java/org/spoolline/state/StateClient.java
+++ b/src/main/java/org/spoolline/state/StateClient.java
@@ -6,6 +6,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import org.spoolline.net.Http;
 import org.spoolline.net.Json;
 import org.spoolline.net.Loop;
@@ -14,6 +16,10 @@
 
 /** The state service by its protocol, with the node's share of its budget. */
 public final class StateClient {
+    private static final Logger LOG = LoggerFactory.getLogger(StateClient.class);
+    /** The protocol's word for a write whose lease has ended. */
+    private static final String NO_SUCH_LEASE = "no such lease";
+
     /** A stored value; version 0 says that the key does not exist. */
     public record Item(String key, JsonNode value, long version) {
         public boolean exists() {
@@ -21,12 +27,16 @@
         }
     }
 
-    /** What became of a transaction. UNKNOWN: it may have been applied, or may yet be. REFUSED: it was not. */
+    /**
+     * What became of a transaction. UNKNOWN: it may have been applied, or may yet be. All others but APPLIED: this copy
+     * was not. TOO_LARGE: it exceeds a limit of the service, so sent again unchanged it fails again.
+     */
     public enum Fate {
         APPLIED,
         CONFLICT,
         REFUSED,
         NO_LEASE,
+        TOO_LARGE,
         UNKNOWN
     }
 
@@ -86,7 +96,8 @@
     private final Loop loop;
     private final Http.Caller http;
     private final String address;
-    private final Settings.State limits;
+    private final Settings.State announcedLimits;
+    private Settings.State limits;
     private final int nodes;
     private final long renewTimeoutMs;
     private final RateBudget requests;
@@ -97,12 +108,14 @@
 
     private long lastReached;
     private boolean everReached;
+    private boolean leads;
 
     public StateClient(Loop loop, Http.Caller http, Settings settings) {
         this.loop = loop;
         this.http = http;
         this.address = settings.stateAddress();
         this.limits = settings.state();
+        this.announcedLimits = settings.state().lowered();
         this.renewTimeoutMs = settings.renewMs();
         this.nodes = Math.max(1, settings.nodes());
         this.requests = new RateBudget(1, loop.now());
@@ -112,8 +125,28 @@
         leading(false);
     }
 
+    /** The limits that are known to be in force. */
+    public Settings.State limits() {
+        return limits;
+    }
+
+    /** Bytes that a value written now may have, so that it can still be rewritten once announced limits are in force. */
+    public int lastingValueBytes() {
+        return announcedLimits.valueBytes();
+    }
+
+    /** The service has refused what the limits known so far allow: the announced ones are in force. */
+    private void takeAnnouncedLimits() {
+        if (!limits.equals(announcedLimits)) {
+            LOG.info("the state service refuses a transaction for its size: its announced limits are taken");
+            limits = announcedLimits;
+            leading(leads);
+        }
+    }
+
     /** Sets this node's share of the budget. */
-    public void leading(boolean leads) {
+    public void leading(boolean leading) {
+        leads = leading;
         double share = nodes == 1
                 ? 1
                 : leads ? Constants.LEADER_BUDGET_SHARE : Math.min(Constants.FOLLOWER_BUDGET_SHARE, 1.0 / (nodes - 1));
@@ -225,7 +258,13 @@
                     body.path("failed").forEach(f -> failed.add(f.asText()));
                     done.accept(new Outcome(Fate.CONFLICT, 0, failed));
                 }
-                case 400 -> done.accept(new Outcome(Fate.NO_LEASE, 0, List.of()));
+                case 400 -> {
+                    boolean noLease = NO_SUCH_LEASE.equals(body.path("error").asText());
+                    if (!noLease) {
+                        takeAnnouncedLimits();
+                    }
+                    done.accept(new Outcome(noLease ? Fate.NO_LEASE : Fate.TOO_LARGE, 0, List.of()));
+                }
                 case 429, 503 -> done.accept(new Outcome(Fate.REFUSED, 0, List.of()));
                 default -> done.accept(new Outcome(Fate.UNKNOWN, 0, List.of()));
             }
--- a/src/test/java/org/spoolline/placement/Fixture.java
+++ b/src/test/java/org/spoolline/placement/Fixture.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -10,6 +11,7 @@
 import org.spoolline.net.Json;
 import org.spoolline.pipeline.Attempt;
 import org.spoolline.pipeline.Pipeline;
+import org.spoolline.pipeline.Submission;
 import org.spoolline.pipeline.SubmissionCodec;
 import org.spoolline.settings.Settings;
 import org.spoolline.workers.Machine;
@@ -88,6 +90,9 @@
         return machine;
     }
 
+    /** Priorities that jobs have from waiting ones that need them. */
+    final Map<String, Submission.Priority> inherited = new HashMap<>();
+
     /** The plan a minute after the start of the day. */
     Placer.Plan plan(Set<String> placeable, boolean mayVacate) {
         return Placer.plan(new ClusterSnapshot(
@@ -98,6 +103,7 @@
                 List.copyOf(machines.values()),
                 Map.of(),
                 Set.of(),
+                inherited,
                 Map.of(type.name(), type),
                 settings,
                 mayVacate,
--- a/src/test/java/org/spoolline/world/FakeState.java
+++ b/src/test/java/org/spoolline/world/FakeState.java
@@ -23,6 +23,9 @@
 
     private record Watch(String from, String prefix, long after, Consumer<Http.Response> answer, boolean[] over) {}
 
+    private static final int CONDITIONS_PER_OP = 4;
+    private static final int MOST_TXN_BYTES = 64 * 1024;
+
     private final World world;
     private final TreeMap<String, Value> values = new TreeMap<>();
     private final List<Logged> log = new ArrayList<>();
@@ -32,6 +35,12 @@
     private long revision;
     private long leases;
     private boolean out;
+    /** The limits that the worlds' settings give. */
+    private int mostValueBytes = 8 * 1024;
+
+    private int mostOps = 12;
+    /** Transactions that were refused for their size. */
+    public int overLimit;
     /** Hosts that alone are refused, and hosts whose watches' answers are lost. */
     private final Set<String> refused = new HashSet<>();
 
@@ -203,7 +212,29 @@
         answer(reply, 200, body);
     }
 
+    /** From now on larger values and transactions get 400; what is stored stays readable. */
+    public void lowerLimits(int valueBytes, int txnOps) {
+        mostValueBytes = valueBytes;
+        mostOps = txnOps;
+    }
+
+    private boolean overLimits(JsonNode body) {
+        for (JsonNode write : body.path("writes")) {
+            if (write.has("v") && Json.bytes(write.path("v")).length > mostValueBytes) {
+                return true;
+            }
+        }
+        return body.path("writes").size() > mostOps
+                || body.path("if").size() > CONDITIONS_PER_OP * mostOps
+                || Json.bytes(body).length > MOST_TXN_BYTES;
+    }
+
     private void commit(JsonNode body, Consumer<Http.Response> reply) {
+        if (overLimits(body)) {
+            overLimit++;
+            answer(reply, 400, Json.object().put("error", "too large"));
+            return;
+        }
         for (JsonNode write : body.path("writes")) {
             if (write.has("ticket")
                     && !leaseEnds.containsKey(write.path("ticket").asLong())) {
--- a/src/test/java/org/spoolline/world/Users.java
+++ b/src/test/java/org/spoolline/world/Users.java
@@ -2,7 +2,9 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -118,6 +120,22 @@
             return body.has("builds") ? body.path("builds").get(0).asText() : null;
         }
 
+        /** Ids of the jobs that it needs. */
+        List<String> prerequisites() {
+            List<String> uids = new ArrayList<>();
+            body.path("waitsOn").forEach(uid -> uids.add(uid.asText()));
+            return uids;
+        }
+
+        /** The same job, to be started after others. */
+        public Job after(Job... needed) {
+            ArrayNode uids = body.putArray("waitsOn");
+            for (Job job : needed) {
+                uids.add(job.uid());
+            }
+            return this;
+        }
+
         boolean cancelAsked() {
             return cancelAsked;
         }
