--- a/src/main/java/org/spoolline/settings/Settings.java
+++ b/src/main/java/org/spoolline/settings/Settings.java
@@ -28,8 +28,14 @@
     /** A team's guarantee and limit. */
     public record Team(String name, double cores, double coresMax, double accelerators, double acceleratorsMax) {}
 
-    /** What is expected of a class of jobs; {@code jobClass} is null for the guarantee. */
-    public record Objective(String kind, String jobClass, double withinS, double share) {}
+    /**
+     * What is expected of a class of jobs. Kinds differ in their fields, and kinds may be added.
+     *
+     * @param jobClass null where all classes are meant, as for the guarantee
+     * @param withinS  the time in which it is expected; null where the kind has none, as for users' deadlines
+     * @param share    the share of the jobs or tasks; null where the kind has none
+     */
+    public record Objective(String kind, String jobClass, Double withinS, Double share) {}
 
     /** Times of the workers, in milliseconds. */
     public record Workers(long reportMs, long leaseMs, long gangWaitMs, long gangPeerMs, long cancelMs) {}
--- a/src/main/java/org/spoolline/settings/SettingsFile.java
+++ b/src/main/java/org/spoolline/settings/SettingsFile.java
@@ -66,8 +66,8 @@
             objectives.add(new Settings.Objective(
                     text(o, "cluster.objectives.", "kind"),
                     o.path("class").asText(null),
-                    number(o, "cluster.objectives.", "within_s"),
-                    number(o, "cluster.objectives.", "share")));
+                    optionalNumber(o, "cluster.objectives.", "within_s"),
+                    optionalNumber(o, "cluster.objectives.", "share")));
         }
         JsonNode w = object(cluster, "cluster.", "workers");
         JsonNode s = object(cluster, "cluster.", "state");
@@ -167,6 +167,10 @@
         return value.asDouble();
     }
 
+    private static Double optionalNumber(JsonNode in, String at, String name) throws SettingsException {
+        return in.has(name) ? Double.valueOf(number(in, at, name)) : null;
+    }
+
     private static double positive(JsonNode in, String at, String name) throws SettingsException {
         double value = number(in, at, name);
         if (value <= 0) {
--- a/src/test/java/org/spoolline/settings/SettingsFileTest.java
+++ b/src/test/java/org/spoolline/settings/SettingsFileTest.java
@@ -1,6 +1,7 @@
 package org.spoolline.settings;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -94,6 +95,40 @@
                 .contains("no-such-file"));
     }
 
+    /** An aim on users' deadlines has no time of its own; a node that insisted on one did not start. */
+    @Test
+    void aimsOfKindsWithOtherFieldsAreRead() throws Exception {
+        Settings s = SettingsFile.parse(
+                FINE
+                        + """
+                        [[cluster.objectives]]
+                        kind = "deadline"
+                        class = "alerts"
+                        share = 0.94
+                        times = 1.5
+                        """);
+        assertEquals(0.94, s.objectives().get(0).share());
+        assertNull(s.objectives().get(0).withinS());
+        assertTrue(refusal(FINE + "[[cluster.objectives]]\nkind = \"wait\"\nwithin_s = -1\n")
+                .contains("cluster.objectives.within_s"));
+    }
+
+    @Test
+    void announcedLimitsAreCheckedAndEachMayBeLeftOut() throws Exception {
+        assertEquals(
+                SettingsFile.parse(FINE).state(),
+                SettingsFile.parse(FINE).state().lowered());
+        Settings.State announced = SettingsFile.parse(
+                        FINE + "[cluster.state.next]\nvalue_kb = 2.0\ntxn_ops = 4\nlater = 1\n")
+                .state();
+        assertEquals(8 * 1024, announced.valueBytes());
+        assertEquals(new Settings.State(100, 40, 2 * 1024, 4, null), announced.lowered());
+        assertTrue(refusal(FINE + "[cluster.state.next]\nvalue_kb = 0\n").contains("cluster.state.next.value_kb"));
+        assertTrue(refusal(FINE + "[cluster.state.next]\nrps = \"x\"\n").contains("cluster.state.next.rps"));
+        assertTrue(refusal(FINE.replace("txn_ops = 12", "txn_ops = 12\nnext = 3"))
+                .contains("cluster.state.next is not a table: 3"));
+    }
+
     /** A cut-off leader, its keep-alive and the workers' lease must all end before a cancellation's bound. */
     @Test
     void theChainOfLeasesEndsBeforeTheCancellationBound() throws Exception {
