--- a/src/main/java/org/spoolline/intake/Intake.java
+++ b/src/main/java/org/spoolline/intake/Intake.java
@@ -1,5 +1,6 @@
 package org.spoolline.intake;
 
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -320,19 +321,18 @@
                 confirmCancelled(uid, answer);
                 return;
             }
-            pipeline.cancel();
             if (!state.admit(1)) {
                 busy(answer);
                 return;
             }
             StateClient.Txn txn = new StateClient.Txn()
                     .require(SchedulingCycles.JOBS + uid, stored.version())
-                    .put(SchedulingCycles.JOBS + uid, pipeline.encode());
+                    .put(SchedulingCycles.JOBS + uid, cancelledValue(pipeline));
             state.commit(txn, outcome -> {
                 if (outcome.fate() == StateClient.Fate.APPLIED) {
                     LOG.info("cancelled {}", uid);
                     confirmCancelled(uid, answer);
-                } else if (outcome.fate() == StateClient.Fate.CONFLICT && tries > 1) {
+                } else if (triedAgain(outcome.fate()) && tries > 1) {
                     cancel(uid, tries - 1, answer);
                 } else {
                     unavailable(answer);
@@ -341,6 +341,22 @@
         });
     }
 
+    /** The value of the job once cancelled, in a form that the limits in force allow. */
+    private ObjectNode cancelledValue(Pipeline pipeline) {
+        pipeline.cancel();
+        ObjectNode value = pipeline.encode();
+        if (Json.bytes(value).length > state.limits().valueBytes()) {
+            pipeline.cancelUnlisted();
+            value = pipeline.encode();
+        }
+        return value;
+    }
+
+    /** A newer value was met, or announced limits were found to be in force: another try fares better. */
+    private static boolean triedAgain(StateClient.Fate fate) {
+        return fate == StateClient.Fate.CONFLICT || fate == StateClient.Fate.TOO_LARGE;
+    }
+
     private void confirmCancelled(String uid, Consumer<Http.Response> answer) {
         cancelled.accept(uid);
         answer.accept(Http.Response.of(200, aborted(uid)));
--- a/src/main/java/org/spoolline/pipeline/Pipeline.java
+++ b/src/main/java/org/spoolline/pipeline/Pipeline.java
@@ -46,6 +46,8 @@
     private int failures;
     private long notBefore;
     private final Set<String> avoided;
+    /** Attempts of a cancelled job that the value has no room to list. */
+    private int unlisted;
 
     private Pipeline(
             Submission spec,
@@ -115,7 +117,7 @@
     }
 
     public Pipeline copy() {
-        return new Pipeline(
+        Pipeline copy = new Pipeline(
                 spec,
                 rawSpec,
                 submittedAt,
@@ -129,6 +131,8 @@
                 failures,
                 notBefore,
                 new LinkedHashSet<>(avoided));
+        copy.unlisted = unlisted;
+        return copy;
     }
 
     public Submission spec() {
@@ -261,6 +265,46 @@
         cancelled = true;
     }
 
+    /**
+     * Cancels a job whose value, written under larger limits, has become too large to be written with its attempts. Only
+     * their number is kept: it counts against the team's limit until cancel_s after this was stored, by when no task of a
+     * cancelled job is on any machine. Workers end a task that no value lists as soon as they report it.
+     */
+    public void cancelUnlisted() {
+        cancelled = true;
+        unlisted += attempts.size();
+        attempts.clear();
+    }
+
+    /** Number of attempts that may still be on machines, though the value does not list them. */
+    public int unlisted() {
+        return unlisted;
+    }
+
+    /** The time by which unlisted attempts are gone is over. */
+    public void unlistedAreGone() {
+        unlisted = 0;
+    }
+
+    /** True once a cancelled job has no attempt left, so that its lasting record can take the value's place. */
+    public boolean cancelledAndGone() {
+        return cancelled && attempts.isEmpty() && unlisted == 0;
+    }
+
+    /** Bytes by which the stored join may still grow, at most, as tasks end in any order. */
+    public int joinGrowthBytes() {
+        int end = window.length();
+        for (Attempt a : attempts.values()) {
+            end = Math.max(end, a.task() + 1 - low);
+        }
+        return base64Length(end) - base64Length(window.length());
+    }
+
+    private static int base64Length(int bits) {
+        int bytes = (bits + Byte.SIZE - 1) / Byte.SIZE;
+        return (bytes * 4 + 2) / 3;
+    }
+
     /** An attempt that was decided but not stored leaves no trace. */
     public void withdraw(Attempt attempt) {
         if (holds(attempt)) {
@@ -329,14 +373,18 @@
 
     /** The stored form. */
     public ObjectNode encode() {
-        int version = waiting() ? Constants.PIPELINE_VERSION_WAITING : Constants.PIPELINE_VERSION;
+        boolean early = waiting() || unlisted > 0;
+        int version = early ? Constants.PIPELINE_VERSION_DEPENDENT : Constants.PIPELINE_VERSION;
         ObjectNode value = Json.object().put("ver", version);
         value.set("job", rawSpec);
         value.put("at", releasedAt);
         if (cancelled) {
             value.put("cancelled", true);
         }
-        if (waiting()) {
+        if (unlisted > 0) {
+            value.put("unlisted", unlisted);
+        }
+        if (early) {
             return value;
         }
         if (submittedAt != releasedAt) {
@@ -364,8 +412,8 @@
 
     /** Reads the stored form, of any version that was ever written. */
     public static Pipeline decode(JsonNode value) {
-        if (value.path("ver").asInt() == Constants.PIPELINE_VERSION_WAITING) {
-            return decodeWaiting(value);
+        if (value.path("ver").asInt() == Constants.PIPELINE_VERSION_DEPENDENT) {
+            return decodeWithoutTasks(value);
         }
         Int2ObjectHashMap<Attempt> attempts = noAttempts();
         long last = value.path("n").asLong();
@@ -396,16 +444,20 @@
                 avoided);
     }
 
-    /** A job that waits for prerequisites: its submission says all, and where it stands is derived from other jobs. */
-    private static Pipeline decodeWaiting(JsonNode value) {
+    /**
+     * A job that waits for prerequisites, whose submission says all since where it stands is derived from other jobs; or a
+     * cancelled one whose attempts are not listed.
+     */
+    private static Pipeline decodeWithoutTasks(JsonNode value) {
         JsonNode raw = value.path("job");
-        Submission spec = SubmissionCodec.trusted(raw);
-        if (spec.prerequisites().isEmpty()) {
-            throw new IllegalArgumentException("stored pipeline waits for nothing");
+        Pipeline decoded =
+                accept(SubmissionCodec.trusted(raw), raw, value.path("at").asLong());
+        decoded.cancelled = saysCancelled(value);
+        decoded.unlisted = value.path("unlisted").asInt();
+        if (!decoded.waiting() && decoded.unlisted <= 0) {
+            throw new IllegalArgumentException("stored pipeline neither waits nor has unlisted attempts");
         }
-        Pipeline waiting = accept(spec, raw, value.path("at").asLong());
-        waiting.cancelled = saysCancelled(value);
-        return waiting;
+        return decoded;
     }
 
     /** The earlier form: a group is an array of machine, session, number and runs of tasks as text. */
--- a/src/main/java/org/spoolline/placement/Placer.java
+++ b/src/main/java/org/spoolline/placement/Placer.java
@@ -76,6 +76,8 @@
         }
         for (Pipeline job : snapshot.jobs()) {
             double[] use = teamUse.computeIfAbsent(job.spec().team(), t -> new double[2]);
+            use[0] += job.unlisted() * job.spec().cores();
+            use[1] += job.unlisted() * job.spec().accelerators();
             for (Attempt a : snapshot.held(job)) {
                 use[0] += job.spec().cores();
                 use[1] += job.spec().accelerators();
--- a/src/main/java/org/spoolline/placement/SchedulingCycles.java
+++ b/src/main/java/org/spoolline/placement/SchedulingCycles.java
@@ -74,6 +74,9 @@
     /** Jobs whose value has no room for more attempts, with the time until which their turn goes to others. */
     private final Map<String, Long> fullUntil = new HashMap<>();
 
+    /** When this leader first saw a cancelled job with unlisted attempts. */
+    private final Map<String, Long> unlistedSince = new HashMap<>();
+
     private long sweptAt;
     /** When machines were last emptied in favour of others. */
     private long vacatedAt;
@@ -149,6 +152,7 @@
         heard.clear();
         unsettled.clear();
         fullUntil.clear();
+        unlistedSince.clear();
         sweptAt = loop.now();
         vacatedAt = loop.now();
         load(token);
@@ -505,12 +509,22 @@
         if (spec.gang() && !result.finished() && !result.attempts().isEmpty()) {
             next = evaluateGang(now, result, next);
         }
-        if (next == null && now.cancelled() && now.attempts().isEmpty()) {
+        if (next == null && now.cancelled() && now.attempts().isEmpty() && unlistedAreGone(now)) {
             next = now.copy();
+            next.unlistedAreGone();
         }
         return next;
     }
 
+    /** Of a job cancelled with unlisted attempts, none is left cancel_s after its value was stored, so after it was read. */
+    private boolean unlistedAreGone(Pipeline cancelled) {
+        if (cancelled.unlisted() == 0) {
+            return true;
+        }
+        long since = unlistedSince.computeIfAbsent(cancelled.uid(), uid -> loop.now());
+        return loop.now() - since > settings.workers().cancelMs() * (1 + Constants.DRIFT);
+    }
+
     /** A gang that has lost a member ends as a whole, and starts again once every member is proven gone. */
     private Pipeline evaluateGang(Pipeline now, Pipeline result, Pipeline next) {
         boolean started = result.attempts().stream().anyMatch(a -> switch (phase(Machine.Start.of(now.uid(), a), a)) {
@@ -721,8 +735,7 @@
             useImage(p.machine(), spec);
         }
         // The value has a limit; what does not fit waits for the next cycles, and completions always fit.
-        int limit = (int) (state.lastingValueBytes() * Constants.VALUE_FILL);
-        while (!added.isEmpty() && Json.bytes(next.encode()).length > limit) {
+        while (!added.isEmpty() && !leavesRoom(next)) {
             int drop = spec.gang() ? added.size() : (added.size() + 1) / 2;
             for (int i = 0; i < drop; i++) {
                 next.withdraw(added.remove(added.size() - 1));
@@ -741,6 +754,14 @@
         LOG.info("placed {} of {} tasks of {} as attempt {}", added.size(), placed.size(), uid, number);
     }
 
+    /** True while a value can take the ends of all its tasks, in any order, and a cancellation. */
+    private boolean leavesRoom(Pipeline job) {
+        int bytes = Json.bytes(job.encode()).length;
+        int most = state.lastingValueBytes();
+        return bytes <= most * Constants.VALUE_FILL
+                && bytes + job.joinGrowthBytes() + Constants.VALUE_RESERVE_BYTES <= most;
+    }
+
     /** Machines of attempts that are being written. */
     private Set<String> machinesWithWorkComing() {
         Set<String> coming = new HashSet<>();
@@ -771,6 +792,7 @@
                 stops.remove(next.uid());
                 afterMates.remove(next.uid());
                 warm.remove(next.uid());
+                unlistedSince.remove(next.uid());
             } else {
                 jobs.applied(change.entry(), revision);
             }
--- a/src/main/java/org/spoolline/placement/Writes.java
+++ b/src/main/java/org/spoolline/placement/Writes.java
@@ -38,7 +38,7 @@
 
         /** True when the lasting record of the job takes the live value's place. */
         boolean over() {
-            return next.finished() || next.cancelled() && next.attempts().isEmpty();
+            return next.finished() || next.cancelledAndGone();
         }
     }
 
--- a/src/main/java/org/spoolline/settings/Constants.java
+++ b/src/main/java/org/spoolline/settings/Constants.java
@@ -165,10 +165,10 @@
     /** The version before, still read: its attempts took three times the room. */
     public static final int PIPELINE_VERSION_BEFORE = 1;
     /**
-     * Version of the value of a job that waits for prerequisites. Its own, so that a controller from before them refuses
-     * to read it instead of starting its tasks too early.
+     * Version of the value of a job that waits for prerequisites, or is cancelled with attempts that are not listed. Its
+     * own, so that a controller from before it refuses to read it instead of starting tasks too early.
      */
-    public static final int PIPELINE_VERSION_WAITING = 3;
+    public static final int PIPELINE_VERSION_DEPENDENT = 3;
     /** Tasks of a job at most, by the protocol. */
     public static final int MAX_TASKS = 100_000;
     /** Characters of a name in a submission: keeps the stored value well within its limit. */
@@ -183,6 +183,8 @@
     public static final double DESCRIPTION_SHARE = 0.5;
     /** Share of the value limit that new placements may fill; completions need the rest. */
     public static final double VALUE_FILL = 0.85;
+    /** Bytes of a value that new placements leave for its cancellation and for what failures add to it. */
+    public static final int VALUE_RESERVE_BYTES = 200;
     /** Ms for which a job whose value is full gets no more room: by then some of its tasks will have completed. */
     public static final long VALUE_FULL_MS = 2_000;
     /** Ms of the first pause after a task failed; doubles with each further failure. */
--- a/src/main/java/org/spoolline/upgrade/VersionRegistry.java
+++ b/src/main/java/org/spoolline/upgrade/VersionRegistry.java
@@ -48,7 +48,7 @@
         state.force(1);
         StateClient.Txn txn = new StateClient.Txn()
                 .require(key, 0)
-                .put(key, Json.object().put("pipeline", Constants.PIPELINE_VERSION_WAITING));
+                .put(key, Json.object().put("pipeline", Constants.PIPELINE_VERSION_DEPENDENT));
         state.commit(txn, outcome -> {
             switch (outcome.fate()) {
                 case APPLIED, CONFLICT -> LOG.debug("{} is recorded", key);
--- /dev/null
+++ b/src/test/java/org/spoolline/pipeline/DependentPipelineTest.java
@@ -0,0 +1,148 @@
+package org.spoolline.pipeline;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import org.spoolline.net.Json;
+
+/** A job that waits for others, as one stored value. */
+class DependentPipelineTest {
+    private static ObjectNode body(int tasks, String... prerequisites) {
+        ObjectNode body = Json.object()
+                .put("uid", "run-000009")
+                .put("lane", "merge")
+                .put("desk", "blue")
+                .put("shape", "batch")
+                .put("urgency", "standard")
+                .put("slips", tasks)
+                .put("cores", 1)
+                .put("accelerators", 0)
+                .put("memGb", 2)
+                .put("plate", "img")
+                .put("imageGb", 1.0)
+                .put("samePlace", false)
+                .put("scatter", false)
+                .put("standby", true)
+                .put("expectS", 60)
+                .put("bookmarkS", 0)
+                .put("stashS", 0)
+                .put("dueS", 90);
+        ArrayNode uids = body.putArray("waitsOn");
+        for (String uid : prerequisites) {
+            uids.add(uid);
+        }
+        return body;
+    }
+
+    private static Pipeline accepted(int tasks, String... prerequisites) throws SubmissionCodec.Malformed {
+        Submission spec = SubmissionCodec.parse(body(tasks, prerequisites));
+        return Pipeline.accept(spec, SubmissionCodec.encode(spec), 1_000);
+    }
+
+    private static Pipeline stored(Pipeline p) {
+        return Pipeline.decode(Json.read(Json.bytes(p.encode())));
+    }
+
+    @Test
+    void itWaitsUntilItIsReleasedAndThenIsAnOrdinaryJob() throws Exception {
+        Pipeline p = stored(accepted(2, "run-000001", "run-000002", "run-000001"));
+        assertEquals(List.of("run-000001", "run-000002"), p.spec().prerequisites());
+        assertTrue(p.waiting());
+        assertFalse(p.finished());
+        p.release(61_000);
+        p = stored(p);
+        assertFalse(p.waiting());
+        assertEquals(1_000, p.submittedAt());
+        assertEquals(61_000, p.releasedAt());
+        assertEquals(2, p.readyCount());
+        p.complete(0);
+        p.complete(1);
+        assertTrue(stored(p).finished());
+    }
+
+    @Test
+    void aCancelledPrerequisiteCancelsIt() throws Exception {
+        Pipeline p = accepted(2, "run-000001", "run-000002");
+        p.prerequisiteCancelled("run-000002");
+        assertTrue(p.cancelledAndGone());
+        assertFalse(p.finished());
+        assertTrue(stored(p).cancelled());
+    }
+
+    @Test
+    void aCancelledJobWhoseAttemptsHaveNoRoomKeepsTheirNumber() throws Exception {
+        Pipeline p = accepted(3);
+        long number = p.nextAttempt();
+        p.place(new Attempt(0, number, "m-000001", 1));
+        p.place(new Attempt(1, number, "m-000002", 1));
+        p.cancelUnlisted();
+        p = stored(p);
+        assertTrue(p.cancelled());
+        assertEquals(2, p.unlisted());
+        assertFalse(p.cancelledAndGone());
+        assertFalse(p.waiting());
+        p.unlistedAreGone();
+        assertTrue(p.cancelledAndGone());
+    }
+
+    /** A value that was filled up once grew past its limit as tasks ended from the last to the first. */
+    @Test
+    void endsInAnyOrderNeverGrowTheValueBeyondTheGrowthOfItsJoin() throws Exception {
+        for (int seed = 0; seed < 20; seed++) {
+            Random random = new Random(seed);
+            Pipeline p = accepted(1_200);
+            long number = p.nextAttempt();
+            List<Attempt> open = new ArrayList<>();
+            for (int task = 0; task < 1_200; task++) {
+                int machine = seed % 2 == 0 ? task / 8 : random.nextInt(200);
+                Attempt attempt = new Attempt(task, number, String.format("m-%06d", machine), 1);
+                p.place(attempt);
+                open.add(attempt);
+            }
+            int most = Json.bytes(p.encode()).length + p.joinGrowthBytes() + 200;
+            if (seed % 4 < 2) {
+                Collections.shuffle(open, random);
+            } else {
+                Collections.reverse(open);
+            }
+            for (Attempt attempt : open) {
+                p.finish(attempt);
+                assertTrue(Json.bytes(p.encode()).length <= most, "seed " + seed + ", task " + attempt.task());
+            }
+            assertTrue(p.finished());
+        }
+    }
+
+    @Test
+    void aListOfPrerequisitesThatIsNoneIsRefused() throws Exception {
+        for (ObjectNode bad : List.of(
+                body(1).put("waitsOn", "run-000001"),
+                body(1).put("waitsOn", 7),
+                body(1, "m-000001"),
+                body(1, "run-1x"))) {
+            assertThrows(SubmissionCodec.Malformed.class, () -> SubmissionCodec.parse(bad));
+        }
+        ObjectNode noText = body(1);
+        noText.putArray("waitsOn").add(7);
+        assertThrows(SubmissionCodec.Malformed.class, () -> SubmissionCodec.parse(noText));
+        for (ObjectNode none : List.of(body(1), body(1).putNull("waitsOn"), body(1).without("waitsOn"))) {
+            assertEquals(List.of(), SubmissionCodec.parse(none).prerequisites());
+        }
+    }
+
+    @Test
+    void aDamagedValueIsRefused() throws Exception {
+        ObjectNode value = accepted(1, "run-000001").encode();
+        ((ObjectNode) value.path("job")).remove("waitsOn");
+        assertThrows(IllegalArgumentException.class, () -> Pipeline.decode(value));
+    }
+}
--- /dev/null
+++ b/src/test/java/org/spoolline/upgrade/ProductionFormsTest.java
@@ -0,0 +1,91 @@
+package org.spoolline.upgrade;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.charset.StandardCharsets;
+import java.util.Set;
+import java.util.TreeSet;
+import org.junit.jupiter.api.Test;
+import org.spoolline.intake.FinalRecord;
+import org.spoolline.net.Json;
+import org.spoolline.peers.PeerStatus;
+import org.spoolline.pipeline.Attempt;
+import org.spoolline.pipeline.Pipeline;
+import org.spoolline.pipeline.Submission;
+import org.spoolline.pipeline.SubmissionCodec;
+
+/** What the version in production wrote is read, and what it may have to read is written as it did. */
+class ProductionFormsTest {
+    private static JsonNode value(String name) {
+        return Json.read(ProductionForms.bytes(name));
+    }
+
+    @Test
+    void aNewJobWithoutPrerequisitesIsStoredAsInProduction() throws Exception {
+        Submission job = SubmissionCodec.parse(value("accepted.json").path("job"));
+        Pipeline accepted = Pipeline.accept(job, SubmissionCodec.encode(job), 1_700_000_000_000L);
+        assertEquals(value("accepted.json"), Json.read(Json.bytes(accepted.encode())));
+    }
+
+    @Test
+    void aWideValueIsReadWithEveryAttemptAndWrittenBackTheSame() {
+        Pipeline wide = Pipeline.decode(value("wide.json"));
+        Set<String> listed = new TreeSet<>();
+        for (Attempt a : wide.attempts()) {
+            listed.add(a.task() + " " + a.number() + " " + a.machine() + " " + a.session());
+        }
+        Set<String> expected =
+                new TreeSet<>(new String(ProductionForms.bytes("wide-attempts.txt"), StandardCharsets.UTF_8)
+                        .lines()
+                        .toList());
+        assertEquals(expected, listed);
+        assertEquals(215, wide.doneCount());
+        assertTrue(wide.avoids("m-000009"));
+        assertEquals(value("wide.json"), Json.read(Json.bytes(wide.encode())));
+    }
+
+    @Test
+    void aCancelledValueIsReadAndWrittenBackTheSame() {
+        Pipeline cancelled = Pipeline.decode(value("wide-cancelled.json"));
+        assertTrue(cancelled.cancelled());
+        assertEquals(1285, cancelled.attempts().size());
+        assertEquals(value("wide-cancelled.json"), Json.read(Json.bytes(cancelled.encode())));
+    }
+
+    @Test
+    void lastingRecordsAndPeersAreRead() {
+        assertEquals(new FinalRecord(true, 1800), FinalRecord.decode(value("final-done.json")));
+        assertEquals(new FinalRecord(false, 3), FinalRecord.decode(value("final-aborted.json")));
+        assertEquals(
+                new PeerStatus("spooler-1", 41, true, false),
+                PeerStatus.decode(ProductionForms.bytes("peer-status.cbor")));
+    }
+
+    /** Fields of a later version are ignored; they are lost when the value is written again. */
+    @Test
+    void unknownFieldsOfAStoredValueAreIgnored() {
+        ObjectNode later = (ObjectNode) value("wide.json");
+        later.put("later", 1);
+        assertEquals(
+                value("wide.json"), Json.read(Json.bytes(Pipeline.decode(later).encode())));
+    }
+
+    /** Production reads versions up to 2 and refuses others: a waiting job must not look like one that may start. */
+    @Test
+    void onlyJobsThatProductionCouldNotServeAreStoredInAFormThatItRefuses() throws Exception {
+        ObjectNode body = value("accepted.json").path("job").deepCopy();
+        body.putArray("waitsOn").add("run-000001").add("run-000002");
+        Submission job = SubmissionCodec.parse(body);
+        Pipeline waiting = Pipeline.accept(job, SubmissionCodec.encode(job), 5);
+        assertEquals(3, waiting.encode().path("ver").asInt());
+        waiting.release(9);
+        ObjectNode released = waiting.encode();
+        assertEquals(2, released.path("ver").asInt());
+        assertFalse(released.path("job").has("waitsOn"));
+        assertEquals(value("accepted.json").path("k"), released.path("k"));
+    }
+}
--- a/src/test/java/org/spoolline/world/DependentJobsTest.java
+++ b/src/test/java/org/spoolline/world/DependentJobsTest.java
@@ -12,6 +12,8 @@
 import org.junit.jupiter.api.Test;
 import org.spoolline.net.Http;
 import org.spoolline.net.Json;
+import org.spoolline.pipeline.Pipeline;
+import org.spoolline.upgrade.ProductionForms;
 
 /** Jobs that wait for others, under an independent check of the rules. */
 class DependentJobsTest {
@@ -240,6 +242,83 @@
         }
     }
 
+    /** A day that begins with a value of production's that is twice as large as the limits of after the upgrade. */
+    private static Users.Job tooLarge(World world) {
+        for (int i = 0; i < 6; i++) {
+            world.users.job("blue", "batch", 1, 1, 5);
+        }
+        Users.Job wide = world.users.job("blue", "batch", 1_800, 0.5, 30);
+        for (int task = 0; task < 1_500; task += 7) {
+            world.rules.completedBefore(wide.uid(), task);
+        }
+        world.cloud.capacity = 40;
+        world.state.put("job/" + wide.uid(), Json.read(ProductionForms.bytes("wide.json")));
+        world.announceLimits(2_048, 4, 28);
+        world.state.lowerLimits(2_048, 4);
+        world.run(2);
+        world.users.submit(wide);
+        world.run(3);
+        assertTrue(wide.accepted());
+        return wide;
+    }
+
+    @Test
+    void aValueLargerThanTheLoweredLimitsIsWrittenOnceItFits() {
+        for (int seed = 1; seed <= SEEDS; seed++) {
+            World world = new World(seed, 16);
+            Users.Job wide = tooLarge(world);
+            Users.Job other = world.users.submit(world.users.job("red", "batch", 4, 1, 5));
+            world.run(40);
+            assertEquals("done", other.status(), "seed " + seed);
+            world.run(300);
+            assertEquals("done", wide.status(), "seed " + seed);
+            assertEquals(List.of(), world.rules.broken(), "seed " + seed);
+            assertTrue(world.state.overLimit <= 12, "seed " + seed + ": " + world.state.overLimit + " refused");
+        }
+    }
+
+    @Test
+    void aValueLargerThanTheLoweredLimitsIsCancelled() {
+        for (int seed = 1; seed <= SEEDS; seed++) {
+            World world = new World(seed, 16);
+            Users.Job wide = tooLarge(world);
+            world.users.cancel(wide);
+            world.run(8);
+            assertEquals("aborted", wide.status(), "seed " + seed);
+            assertEquals(
+                    1_285,
+                    world.state.value("job/" + wide.uid()).path("unlisted").asInt());
+            // Until its attempts are gone they count against the team's limit of 1,024 cores.
+            Users.Job next = world.users.submit(world.users.job("blue", "batch", 1_600, 0.5, 200));
+            world.run(20);
+            int placed = Pipeline.decode(world.state.value("job/" + next.uid()))
+                    .attempts()
+                    .size();
+            assertTrue(placed > 0 && placed <= 2_048 - 1_285, "seed " + seed + ": " + placed + " placed");
+            world.run(60);
+            assertEquals(
+                    "aborted",
+                    world.state.value("final/" + wide.uid()).path("end").asText());
+            assertEquals("aborted", wide.status(), "seed " + seed);
+            assertEquals(List.of(), world.rules.broken(), "seed " + seed);
+        }
+    }
+
+    /** A leader that can't read the jobs writes nothing: each node still tells of the cancelled job before a waiting one. */
+    @Test
+    void dependentsAreCancelledAlsoWhileNoLeaderCanReadTheJobs() {
+        lines(500, lines -> {
+            World world = lines.get(0).world;
+            world.state.refuseListings(90);
+            NODES.forEach(node -> world.crashFor(node, 0.3));
+            world.at(8_000, () -> world.users.cancel(lines.get(1).check));
+            world.at(8_500, () -> world.users.cancel(lines.get(2).resize.get(0)));
+            for (Users.Job job : List.of(lines.get(2).merge, lines.get(2).deliver)) {
+                world.at(70_000, () -> assertEquals("aborted", job.status(), job.uid()));
+            }
+        });
+    }
+
     @Test
     void aWideFanIsCancelledWithItsRoot() {
         World world = new World(5, 1, 400);
--- a/src/test/java/org/spoolline/world/FakeState.java
+++ b/src/test/java/org/spoolline/world/FakeState.java
@@ -125,6 +125,12 @@
         return value == null ? null : value.json();
     }
 
+    /** A value that is there before the day begins. */
+    void put(String key, JsonNode value) {
+        revision++;
+        set(key, value, 0);
+    }
+
     void handle(String from, Http.Request request, Consumer<Http.Response> reply) {
         if (refuses(from)) {
             reply.accept(Http.Response.of(503, new byte[0]));
--- a/src/test/java/org/spoolline/world/Rules.java
+++ b/src/test/java/org/spoolline/world/Rules.java
@@ -147,6 +147,11 @@
         }
     }
 
+    /** The task was done before the day began. */
+    void completedBefore(String uid, int task) {
+        completed.computeIfAbsent(uid, u -> new HashSet<>()).add(task);
+    }
+
     private boolean complete(String uid) {
         return completedCount(uid) >= world.users.job(uid).tasks();
     }
