--- /dev/null
+++ b/src/main/java/org/spoolline/placement/JobWatch.java
@@ -0,0 +1,117 @@
+package org.spoolline.placement;
+
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.spoolline.leadership.Freshness;
+import org.spoolline.net.Loop;
+import org.spoolline.settings.Constants;
+import org.spoolline.state.StateClient;
+
+/** Keeps the leader's table of live pipelines in step with the state service: one listing, then watches without a gap. */
+final class JobWatch {
+    private static final Logger LOG = LoggerFactory.getLogger(JobWatch.class);
+
+    /** Hears of what has come from the state service. */
+    interface Listener {
+        /** All live pipelines are known, for the first time in this term. */
+        void loaded();
+
+        /** Some pipelines may have changed. */
+        void changed();
+    }
+
+    private final Loop loop;
+    private final StateClient state;
+    private final Freshness freshness;
+    private final JobTable jobs;
+    private final Listener listener;
+    private long term;
+    private boolean loaded;
+
+    JobWatch(Loop loop, StateClient state, Freshness freshness, JobTable jobs, Listener listener) {
+        this.loop = loop;
+        this.state = state;
+        this.freshness = freshness;
+        this.jobs = jobs;
+        this.listener = listener;
+    }
+
+    /** Reads the live pipelines, which the election has fenced; with 0 the present term ends. */
+    void begin(long token) {
+        term = token;
+        loaded = false;
+        if (token != 0) {
+            load(token);
+        }
+    }
+
+    /** True once all live pipelines were read in this term. */
+    boolean loaded() {
+        return loaded;
+    }
+
+    private void load(long mine) {
+        long sent = loop.now();
+        state.list(SchedulingCycles.JOBS, listing -> {
+            if (term != mine) {
+                return;
+            }
+            if (!listing.reached()) {
+                later(Constants.RETRY_MS, mine, () -> load(mine));
+                return;
+            }
+            for (StateClient.Item item : listing.items()) {
+                jobs.seen(new StateClient.Change(item.key(), item.value(), item.version()), uid(item.key()));
+            }
+            freshness.completeAsOf(sent);
+            if (!loaded) {
+                loaded = true;
+                LOG.info(
+                        "{} live pipelines read under token {}", listing.items().size(), mine);
+                listener.loaded();
+            }
+            watch(mine, listing.revision());
+            listener.changed();
+        });
+    }
+
+    private void watch(long mine, long after) {
+        long sent = loop.now();
+        state.watch(SchedulingCycles.JOBS, after, Constants.VIEW_WATCH_MS, watched -> {
+            if (term != mine) {
+                return;
+            }
+            if (watched.tooOld()) {
+                load(mine);
+                return;
+            }
+            for (StateClient.Change change : watched.changes()) {
+                jobs.seen(change, uid(change.key()));
+            }
+            if (watched.reached()) {
+                jobs.watchedUpTo(watched.revision());
+                freshness.completeAsOf(sent);
+            }
+            if (!watched.changes().isEmpty()) {
+                listener.changed();
+            }
+            later(
+                    watched.reached() ? Constants.WATCH_PAUSE_MS : Constants.RETRY_MS,
+                    mine,
+                    () -> watch(mine, watched.revision()));
+        });
+    }
+
+    /** Runs the task on the loop, unless the term has ended by then. */
+    private void later(long delayMs, long mine, Runnable task) {
+        loop.after(delayMs, () -> {
+            if (term == mine) {
+                task.run();
+            }
+        });
+    }
+
+    private static String uid(String key) {
+        return key.substring(SchedulingCycles.JOBS.length());
+    }
+}
--- a/src/main/java/org/spoolline/placement/SchedulingCycles.java
+++ b/src/main/java/org/spoolline/placement/SchedulingCycles.java
@@ -51,18 +51,17 @@
     private final Catalog catalog;
     private final MachineTable machines;
     private final JobTable jobs;
+    private final JobWatch watch;
     private final Writes writes;
     private final Dependencies dependencies;
     private Fleet fleet;
     private CycleListener cycleListener;
 
     private long term;
-    private Evidence evidence;
-    private boolean loaded;
+    private final AttemptEvaluator evaluator;
     private final CyclePacer pacer;
     private int lastBatch;
     private long lastCycleAt;
-    private final Map<String, Map<Machine.Start, Double>> stops = new HashMap<>();
     /** Gang tasks whose machine has the image, while others of the gang have to fetch it. */
     private final Map<String, Set<Machine.Start>> afterMates = new HashMap<>();
 
@@ -74,28 +73,14 @@
     /** Jobs whose value has no room for more attempts, with the time until which their turn goes to others. */
     private final Map<String, Long> fullUntil = new HashMap<>();
 
-    /** When this leader first saw a cancelled job with unlisted attempts. */
-    private final Map<String, Long> unlistedSince = new HashMap<>();
-
     private long sweptAt;
     /** When machines were last emptied in favour of others. */
     private long vacatedAt;
 
-    private final Map<String, Reservation> reservations = new LinkedHashMap<>();
+    private final Reservations reservations;
     /** Gangs for which machines with their image have been cleared: once each, so that none waits for long. */
     private final Set<String> warm = new HashSet<>();
 
-    /** Machines that are being cleared for a job, or kept for a gang that has its image there. */
-    private record Reservation(Placer.Clearing clearing, long until) {
-        Reservation with(String machine, long atLeastUntil) {
-            Set<String> more = new LinkedHashSet<>(clearing.machines());
-            more.add(machine);
-            return new Reservation(
-                    new Placer.Clearing(clearing.uid(), more, clearing.leaving(), clearing.warm()),
-                    Math.max(until, atLeastUntil));
-        }
-    }
-
     /** Who is told what the cycles have brought about. */
     public interface CycleListener {
         /** The live pipelines are known under the present token. */
@@ -122,6 +107,9 @@
         this.catalog = catalog;
         this.machines = machines;
         this.jobs = jobs;
+        watch = new JobWatch(loop, state, freshness, jobs, new Watched());
+        reservations = new Reservations(loop, jobs);
+        evaluator = new AttemptEvaluator(loop, settings, catalog, machines, reservations, withNews);
         writes = new Writes(loop, state, leadership, jobs, new Stored());
         dependencies = new Dependencies(loop, state, jobs, this::requestCycle);
         pacer = new CyclePacer(loop, settings, this::runCycle);
@@ -136,15 +124,14 @@
     public void elected(long token) {
         term = token;
         // A former leader may have kept leases alive until its keep-alive time had run out.
-        evidence = new Evidence(leadership.workerToken(), loop.now() + settings.keepAliveMs(), settings.silenceMs());
-        loaded = false;
+        evaluator.begin(
+                new Evidence(leadership.workerToken(), loop.now() + settings.keepAliveMs(), settings.silenceMs()));
         pacer.begin();
         freshness.begin();
         writes.begin(token);
         dependencies.begin(token);
         jobs.clear();
         machines.clear();
-        stops.clear();
         afterMates.clear();
         withNews.clear();
         reservations.clear();
@@ -152,10 +139,9 @@
         heard.clear();
         unsettled.clear();
         fullUntil.clear();
-        unlistedSince.clear();
         sweptAt = loop.now();
         vacatedAt = loop.now();
-        load(token);
+        watch.begin(token);
         tick(token);
     }
 
@@ -163,74 +149,9 @@
         term = 0;
         writes.begin(0);
         dependencies.begin(0);
-        loaded = false;
+        watch.begin(0);
         jobs.clear();
-        stops.clear();
-    }
-
-    private void load(long mine) {
-        long sent = loop.now();
-        state.list(JOBS, listing -> {
-            if (term != mine) {
-                return;
-            }
-            if (!listing.reached()) {
-                later(Constants.RETRY_MS, mine, () -> load(mine));
-                return;
-            }
-            for (StateClient.Item item : listing.items()) {
-                jobs.seen(new StateClient.Change(item.key(), item.value(), item.version()), uid(item.key()));
-            }
-            freshness.completeAsOf(sent);
-            if (!loaded) {
-                loaded = true;
-                LOG.info(
-                        "{} live pipelines read under token {}", listing.items().size(), mine);
-                cycleListener.loaded();
-            }
-            watch(mine, listing.revision());
-            requestCycle();
-        });
-    }
-
-    private void watch(long mine, long after) {
-        long sent = loop.now();
-        state.watch(JOBS, after, Constants.VIEW_WATCH_MS, watched -> {
-            if (term != mine) {
-                return;
-            }
-            if (watched.tooOld()) {
-                load(mine);
-                return;
-            }
-            for (StateClient.Change change : watched.changes()) {
-                jobs.seen(change, uid(change.key()));
-            }
-            if (watched.reached()) {
-                jobs.watchedUpTo(watched.revision());
-                freshness.completeAsOf(sent);
-            }
-            if (!watched.changes().isEmpty()) {
-                requestCycle();
-            }
-            later(
-                    watched.reached() ? Constants.WATCH_PAUSE_MS : Constants.RETRY_MS,
-                    mine,
-                    () -> watch(mine, watched.revision()));
-        });
-    }
-
-    /** Runs the task on the loop, unless the term has ended by then. */
-    private void later(long delayMs, long mine, Runnable task) {
-        loop.after(delayMs, () -> {
-            if (term == mine) {
-                task.run();
-            }
-        });
-    }
-
-    private static String uid(String key) {
-        return key.substring(JOBS.length());
+        evaluator.begin(null);
     }
 
     /** Time alone is evidence: a cycle runs at least so often. */
@@ -261,7 +182,7 @@
 
     @Override
     public Double graceOf(Machine.Start start) {
-        return stops.getOrDefault(start.uid(), Map.of()).get(start);
+        return evaluator.graceOf(start);
     }
 
     /**
@@ -277,26 +198,19 @@
         }
         for (Attempt a : entry.confirmed().attempts()) {
             Machine.Start other = Machine.Start.of(start.uid(), a);
-            if (!late.contains(other) && phase(other, a) == TaskReport.Phase.FETCHING) {
+            if (!late.contains(other) && evaluator.phase(other, a) == TaskReport.Phase.FETCHING) {
                 return false;
             }
         }
         return true;
     }
 
-    /** The task's phase as last reported; one not yet seen counts as fetching. */
-    private TaskReport.Phase phase(Machine.Start start, Attempt attempt) {
-        Machine machine = machines.get(attempt.machine());
-        TaskReport report = machine == null ? null : machine.tasks().get(start);
-        return report == null ? TaskReport.Phase.FETCHING : report.phase();
-    }
-
     private void runCycle() {
-        if (!loaded || !leadership.valid()) {
+        if (!watch.loaded() || !leadership.valid()) {
             return;
         }
         lastCycleAt = loop.now();
-        lapseReservations();
+        reservations.lapse();
         boolean sweep = loop.now() - sweptAt >= Constants.SWEEP_MS;
         if (sweep) {
             sweptAt = loop.now();
@@ -322,7 +236,8 @@
             Collection<Attempt> due = sweep || evaluatedWhole(entry)
                     ? entry.confirmed().attempts()
                     : unsettled.getOrDefault(uid, Set.of());
-            Pipeline next = due.isEmpty() && !entry.confirmed().cancelled() ? null : tryToEvaluate(entry, due);
+            Pipeline next =
+                    due.isEmpty() && !entry.confirmed().cancelled() ? null : evaluator.tryToEvaluate(entry, due);
             putUnlessWaiting(working, next == null ? entry.confirmed() : next);
             if (next == null) {
                 unsettled.remove(uid);
@@ -333,12 +248,12 @@
         }
         Placer.Plan plan = planned(working);
         for (Placer.Clearing clearing : plan.clearings()) {
-            reservations.put(clearing.uid(), new Reservation(clearing, loop.now() + Constants.RESERVED_MS));
+            reservations.reserve(clearing);
             if (clearing.warm()) {
                 warm.add(clearing.uid());
             }
             withNews.addAll(clearing.machines());
-            clearing.leaving().forEach(this::stop);
+            clearing.leaving().forEach(evaluator::stop);
             LOG.info(
                     "clearing {} for {}: {} tasks leave",
                     clearing.machines(),
@@ -357,7 +272,7 @@
         boolean all = writes.write(changes);
         Set<String> coming = machinesWithWorkComing();
         coming.addAll(plan.gathering());
-        reservations.values().forEach(r -> coming.addAll(r.clearing().machines()));
+        reservations.addMachinesTo(coming);
         fleet.pass(
                 plan.wants(),
                 ClusterSnapshot.askedCores(working.values(), loop.timeOfDay()),
@@ -408,26 +323,7 @@
     private boolean evaluatedWhole(JobTable.Entry entry) {
         return entry.confirmed().spec().gang()
                 || entry.cancelled()
-                || stops.containsKey(entry.confirmed().uid());
-    }
-
-    /** A reservation ends when its job has started or is over, or when it has led to nothing for too long. */
-    private void lapseReservations() {
-        reservations.values().removeIf(r -> {
-            JobTable.Entry entry = jobs.get(r.clearing().uid());
-            return entry == null
-                    || entry.cancelled()
-                    || started(entry.confirmed(), r.clearing())
-                    || loop.now() > r.until();
-        });
-    }
-
-    /** A gang has started once it is placed in full; an array, once nobody has to leave for it any more. */
-    private boolean started(Pipeline job, Placer.Clearing clearing) {
-        return job.spec().gang()
-                ? job.attempts().size() == job.spec().tasks()
-                : clearing.leaving().keySet().stream().noneMatch(start -> clearing.machines().stream()
-                        .anyMatch(m -> jobs.on(m).containsKey(start)));
+                || evaluator.stopping(entry.confirmed().uid());
     }
 
     /** What has ended is written and told even when no plan can be made. */
@@ -440,213 +336,6 @@
         }
     }
 
-    /** One job that can't be judged must not stop the cycles for all others. */
-    private Pipeline tryToEvaluate(JobTable.Entry entry, Collection<Attempt> due) {
-        try {
-            return evaluate(entry, due);
-        } catch (RuntimeException e) {
-            LOG.error("{} can't be judged", entry.confirmed().uid(), e);
-            return null;
-        }
-    }
-
-    /** Steps one pipeline by what is proven about the attempts that are due; null when nothing changes. */
-    private Pipeline evaluate(JobTable.Entry entry, Collection<Attempt> due) {
-        Pipeline now = entry.confirmed();
-        Submission spec = now.spec();
-        stops.remove(now.uid());
-        for (Reservation r : reservations.values()) {
-            r.clearing().leaving().forEach((start, grace) -> {
-                if (start.uid().equals(now.uid())) {
-                    stop(start, grace);
-                }
-            });
-        }
-        Pipeline next = null;
-        int gone = 0;
-        for (Attempt attempt : due) {
-            if (!now.holds(attempt)) {
-                continue;
-            }
-            Machine machine = machines.get(attempt.machine());
-            Evidence.Finding finding = evidence.judge(now.uid(), attempt, machine, loop.now());
-            boolean unwanted = now.cancelled()
-                    || noticeStop(spec, machine, attempt, now)
-                    || graceOf(Machine.Start.of(now.uid(), attempt)) != null;
-            if (now.cancelled() && finding.verdict() == Evidence.Verdict.ALIVE) {
-                withNews.add(attempt.machine());
-            }
-            switch (finding.verdict()) {
-                case EXITED -> {
-                    next = next == null ? now.copy() : next;
-                    exited(next, attempt, machine, finding.report());
-                }
-                case GONE -> {
-                    next = next == null ? now.copy() : next;
-                    next.lose(attempt);
-                    gone++;
-                    LOG.debug(
-                            "{}/{} attempt {} is gone with {}",
-                            now.uid(),
-                            attempt.task(),
-                            attempt.number(),
-                            attempt.machine());
-                }
-                case ABSENT -> {
-                    if (unwanted) {
-                        next = next == null ? now.copy() : next;
-                        next.lose(attempt);
-                    }
-                }
-                default -> {}
-            }
-        }
-        if (gone > 0) {
-            // One line a job: hundreds of tasks may be gone after a crash of all controllers, when time is short.
-            LOG.info("{}: {} attempts are gone with their machines", now.uid(), gone);
-        }
-        Pipeline result = next == null ? now : next;
-        if (spec.gang() && !result.finished() && !result.attempts().isEmpty()) {
-            next = evaluateGang(now, result, next);
-        }
-        if (next == null && now.cancelled() && now.attempts().isEmpty() && unlistedAreGone(now)) {
-            next = now.copy();
-            next.unlistedAreGone();
-        }
-        return next;
-    }
-
-    /** Of a job cancelled with unlisted attempts, none is left cancel_s after its value was stored, so after it was read. */
-    private boolean unlistedAreGone(Pipeline cancelled) {
-        if (cancelled.unlisted() == 0) {
-            return true;
-        }
-        long since = unlistedSince.computeIfAbsent(cancelled.uid(), uid -> loop.now());
-        return loop.now() - since > settings.workers().cancelMs() * (1 + Constants.DRIFT);
-    }
-
-    /** A gang that has lost a member ends as a whole, and starts again once every member is proven gone. */
-    private Pipeline evaluateGang(Pipeline now, Pipeline result, Pipeline next) {
-        boolean started = result.attempts().stream().anyMatch(a -> switch (phase(Machine.Start.of(now.uid(), a), a)) {
-            case FETCHING, GATHERING -> false;
-            default -> true;
-        });
-        // Before the start, the rest may wait for a replacement under the same attempt number.
-        boolean broken = result.attempts().size() < now.spec().tasks() && started;
-        boolean stopping = result.attempts().stream().anyMatch(a -> graceOf(Machine.Start.of(now.uid(), a)) != null);
-        if (!broken && !stopping) {
-            return next;
-        }
-        double grace = broken ? 0 : now.spec().stopGraceS();
-        Pipeline changed = next;
-        for (Attempt a : List.copyOf(result.attempts())) {
-            stop(now.uid(), a, grace);
-            if (evidence.judge(now.uid(), a, machines.get(a.machine()), loop.now())
-                            .verdict()
-                    == Evidence.Verdict.ABSENT) {
-                changed = changed == null ? now.copy() : changed;
-                changed.lose(a);
-            }
-        }
-        return changed;
-    }
-
-    /** A task that can save leaves a machine that the cloud is about to take, or that is emptied to be returned. */
-    private boolean noticeStop(Submission spec, Machine machine, Attempt attempt, Pipeline job) {
-        if (machine == null || machine.noticeS() == null && !machine.vacating()) {
-            return false;
-        }
-        TaskReport report = machine.tasks().get(Machine.Start.of(job.uid(), attempt));
-        boolean started = report != null && report.phase() != TaskReport.Phase.FETCHING;
-        if (started && !spec.saves()) {
-            return false;
-        }
-        stop(job.uid(), attempt, spec.stopGraceS());
-        return true;
-    }
-
-    private void stop(String uid, Attempt attempt, double grace) {
-        withNews.add(attempt.machine());
-        stop(Machine.Start.of(uid, attempt), grace);
-    }
-
-    private void stop(Machine.Start start, double grace) {
-        stops.computeIfAbsent(start.uid(), u -> new HashMap<>()).put(start, grace);
-    }
-
-    private void exited(Pipeline next, Attempt attempt, Machine machine, TaskReport report) {
-        String uid = next.uid();
-        switch (report.cause()) {
-            case DONE -> {
-                machine.completed();
-                if (next.spec().shape() == Submission.Shape.SERVICE) {
-                    next.lose(attempt);
-                    // A service is never done: its task is started again until the user cancels.
-                    next.pauseUntil(loop.timeOfDay() + Constants.REFUSED_START_MS);
-                } else if (next.cancelled()) {
-                    next.lose(attempt);
-                } else {
-                    if (next.spec().gang()) {
-                        // The protocol: a gang completes together; if one task is done, every one is.
-                        for (int task = 0; task < next.spec().tasks(); task++) {
-                            next.complete(task);
-                        }
-                    }
-                    next.finish(attempt);
-                }
-            }
-            case ERROR -> {
-                next.lose(attempt);
-                LOG.info("{}/{} attempt {} failed on {}", uid, attempt.task(), attempt.number(), machine.name());
-                next.fail(machine.name(), loop.timeOfDay());
-                // A job that fails everywhere says little about a machine; several jobs failing on one do.
-                if (machine.failed(uid) >= Constants.MACHINE_ERROR_JOBS && !machine.draining()) {
-                    LOG.info("machine {} fails tasks of several jobs and is emptied", machine.name());
-                    machine.drain();
-                }
-            }
-            case NO_ROOM, BUSY, UNKNOWN -> {
-                next.lose(attempt);
-                LOG.info(
-                        "{}/{} attempt {} refused by {}: {}",
-                        uid,
-                        attempt.task(),
-                        attempt.number(),
-                        machine.name(),
-                        report.cause());
-                next.pauseUntil(loop.timeOfDay() + Constants.REFUSED_START_MS);
-            }
-            case STOPPED, PEERS_GONE, ALONE -> {
-                next.lose(attempt);
-                if (report.cause() == TaskReport.Cause.ALONE) {
-                    keepPlace(next.spec(), machine);
-                }
-                LOG.debug(
-                        "{}/{} attempt {} ended on {}: {}{}",
-                        uid,
-                        attempt.task(),
-                        attempt.number(),
-                        machine.name(),
-                        report.cause(),
-                        report.saved() ? ", saved" : "");
-            }
-        }
-    }
-
-    /**
-     * A gang's task waited in vain for mates that still fetch a large image. Its machine has the image; given to others
-     * meanwhile, the gang would fetch again elsewhere and again wait in vain, by turns.
-     */
-    private void keepPlace(Submission spec, Machine machine) {
-        MachineType type = catalog.types().get(machine.type());
-        long until = loop.now()
-                + Math.max(
-                        Constants.RESERVED_MS, type == null ? 0 : (long) (spec.imageGb() / type.fetchGbPerS() * 1000));
-        Reservation kept = reservations.getOrDefault(
-                spec.uid(), new Reservation(new Placer.Clearing(spec.uid(), Set.of(), Map.of(), false), until));
-        reservations.put(spec.uid(), kept.with(machine.name(), until));
-    }
-
     private ClusterSnapshot snapshot(Map<String, Pipeline> working) {
         fullUntil.values().removeIf(until -> until <= loop.now());
         Map<String, List<Attempt>> holding = new HashMap<>();
@@ -674,15 +363,13 @@
                 usable.add(m);
             }
         }
-        Map<String, String> reserved = new HashMap<>();
-        reservations.forEach((uid, r) -> r.clearing().machines().forEach(m -> reserved.put(m, uid)));
         return new ClusterSnapshot(
                 all,
                 holding,
                 placeable,
                 machines.byName(),
                 usable,
-                reserved,
+                reservations.jobsByMachine(),
                 warm,
                 dependencies.inheritedPriorities(),
                 catalog.types(),
@@ -700,13 +387,11 @@
         if (!job.spec().gang() || job.attempts().isEmpty()) {
             return true;
         }
-        Reservation kept = reservations.get(job.uid());
         return job.attempts().stream()
-                        .allMatch(a -> phase(Machine.Start.of(job.uid(), a), a) == TaskReport.Phase.GATHERING)
-                && (kept == null
-                        || kept.clearing().machines().stream()
-                                .map(machines::get)
-                                .noneMatch(m -> m != null && !m.gone() && listsEnded(m, job.uid())));
+                        .allMatch(a -> evaluator.phase(Machine.Start.of(job.uid(), a), a) == TaskReport.Phase.GATHERING)
+                && reservations.machinesOf(job.uid()).stream()
+                        .map(machines::get)
+                        .noneMatch(m -> m != null && !m.gone() && listsEnded(m, job.uid()));
     }
 
     private static boolean listsEnded(Machine machine, String uid) {
@@ -773,6 +458,19 @@
         return coming;
     }
 
+    /** What has come from the state service. */
+    private final class Watched implements JobWatch.Listener {
+        @Override
+        public void loaded() {
+            cycleListener.loaded();
+        }
+
+        @Override
+        public void changed() {
+            requestCycle();
+        }
+    }
+
     /** What becomes of the changes that a cycle has decided. */
     private final class Stored implements Writes.Listener {
         @Override
@@ -789,10 +487,9 @@
                 LOG.info("{} is over: {}", next.uid(), next.finished() ? "done" : "cancelled");
                 jobs.drop(next.uid(), revision);
                 dependencies.recorded(next.uid(), FinalRecord.of(next));
-                stops.remove(next.uid());
+                evaluator.forget(next.uid());
                 afterMates.remove(next.uid());
                 warm.remove(next.uid());
-                unlistedSince.remove(next.uid());
             } else {
                 jobs.applied(change.entry(), revision);
             }
