--- /dev/null
+++ b/src/test/java/org/spoolline/placement/DependenciesTest.java
@@ -0,0 +1,141 @@
+package org.spoolline.placement;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.spoolline.intake.FinalRecord;
+import org.spoolline.net.FakeLoop;
+import org.spoolline.net.Http;
+import org.spoolline.net.Json;
+import org.spoolline.pipeline.Pipeline;
+import org.spoolline.pipeline.Submission;
+import org.spoolline.pipeline.SubmissionCodec;
+import org.spoolline.state.StateClient;
+import org.spoolline.world.World;
+
+/** Which waiting jobs may start, and which are cancelled with others. */
+class DependenciesTest {
+    /** Long enough that a recursion would run out of stack. */
+    private static final int LONG_CHAIN = 20_000;
+
+    private final FakeLoop loop = new FakeLoop();
+    private final JobTable jobs = new JobTable();
+    /** What the state service holds under the keys that are read. */
+    private final Map<String, ObjectNode> stored = new HashMap<>();
+
+    private final StateClient state = new StateClient(
+            loop,
+            (target, method, path, body, timeoutMs, done) -> done.accept(answer(path)),
+            new World(1).settings("node-0"));
+    private final Dependencies dependencies = new Dependencies(loop, state, jobs, () -> {});
+
+    private Http.Reply answer(String path) {
+        ObjectNode value = stored.get(path.substring("/keys/".length()));
+        if (value == null) {
+            return new Http.Reply(404, new byte[0]);
+        }
+        ObjectNode body = Json.object().put("stamp", 1);
+        body.set("v", value);
+        return new Http.Reply(200, Json.bytes(body));
+    }
+
+    private Pipeline job(int number, String urgency, int... needed) throws Exception {
+        ObjectNode body = SubmissionCodec.encode(
+                Fixture.job(uid(number), "blue", "batch", urgency, 1, 1, 0, 0).spec());
+        ArrayNode uids = body.putArray("waitsOn");
+        for (int other : needed) {
+            uids.add(uid(other));
+        }
+        return Pipeline.accept(SubmissionCodec.parse(body), body, 0);
+    }
+
+    private static String uid(int number) {
+        return String.format("run-%06d", number);
+    }
+
+    private Pipeline live(Pipeline job) {
+        jobs.seen(new StateClient.Change("job/" + job.uid(), job.encode(), 1), job.uid());
+        return job;
+    }
+
+    @Test
+    void aJobIsReleasedOnceEveryRecordWasReadAndSaysDone() throws Exception {
+        dependencies.begin(1);
+        live(job(1, "standard"));
+        Pipeline waiting = live(job(3, "standard", 1, 2));
+        dependencies.refresh();
+        assertEquals(Dependencies.Verdict.WAITS, dependencies.verdictOf(waiting));
+        stored.put("final/" + uid(2), new FinalRecord(true, 1).encode());
+        jobs.drop(uid(1), 2);
+        dependencies.refresh();
+        assertEquals(Dependencies.Verdict.WAITS, dependencies.verdictOf(waiting), "no record of the first one yet");
+        stored.put("final/" + uid(1), new FinalRecord(true, 1).encode());
+        loop.runTo(loop.now() + 2_000);
+        dependencies.refresh();
+        dependencies.refresh();
+        assertEquals(Dependencies.Verdict.RELEASED, dependencies.verdictOf(waiting));
+        Pipeline released = dependencies.step(waiting);
+        assertEquals(false, released.waiting());
+        assertEquals(1, released.readyCount());
+    }
+
+    @Test
+    void aRecordThatSaysCancelledCancelsTheDependent() throws Exception {
+        dependencies.begin(1);
+        Pipeline waiting = live(job(3, "standard", 1));
+        stored.put("final/" + uid(1), new FinalRecord(false, 0).encode());
+        dependencies.refresh();
+        dependencies.refresh();
+        assertEquals(Dependencies.Verdict.CANCELLED, dependencies.verdictOf(waiting));
+        assertTrue(dependencies.step(waiting).cancelledAndGone());
+    }
+
+    /** Level by level, a chain would be cancelled long after cancel_s. */
+    @Test
+    void aChainOfAnyLengthIsCancelledInOneCycle() throws Exception {
+        dependencies.begin(1);
+        Pipeline root = job(0, "standard");
+        root.cancel();
+        live(root);
+        Pipeline last = root;
+        for (int i = 1; i <= LONG_CHAIN; i++) {
+            last = live(job(i, "standard", i - 1));
+        }
+        dependencies.refresh();
+        assertEquals(Dependencies.Verdict.CANCELLED, dependencies.verdictOf(last));
+    }
+
+    @Test
+    void aJobHasThePriorityOfWhoeverNeedsItThroughOthersToo() throws Exception {
+        dependencies.begin(1);
+        live(job(1, "best_effort"));
+        live(job(2, "best_effort", 1));
+        live(job(3, "standard", 1));
+        live(job(4, "urgent", 2));
+        dependencies.refresh();
+        assertEquals(
+                Map.of(uid(1), Submission.Priority.URGENT, uid(2), Submission.Priority.URGENT),
+                dependencies.inheritedPriorities());
+    }
+
+    @Test
+    void aNeededJobIsPlacedBeforeOthersOfAHigherPriorityOfTheirOwn() throws Exception {
+        Fixture fixture = new Fixture(9);
+        Pipeline needed = Fixture.job(uid(7), "blue", "batch", "best_effort", 1, 8, 0, World.START_OF_DAY);
+        Pipeline other = Fixture.job(uid(6), "blue", "batch", "standard", 1, 8, 0, World.START_OF_DAY);
+        fixture.running("m", Fixture.job(uid(5), "blue", "batch", "standard", 1, 1, 0, World.START_OF_DAY), 1);
+        fixture.jobs.add(other);
+        fixture.jobs.add(needed);
+        Set<String> both = Set.of(needed.uid(), other.uid());
+        assertEquals(Set.of(other.uid()), fixture.plan(both, false).placements().keySet());
+        fixture.inherited.put(needed.uid(), Submission.Priority.URGENT);
+        assertEquals(
+                Set.of(needed.uid()), fixture.plan(both, false).placements().keySet());
+    }
+}
