--- a/src/test/java/org/spoolline/pipeline/DependentPipelineTest.java
+++ b/src/test/java/org/spoolline/pipeline/DependentPipelineTest.java
@@ -17,25 +17,7 @@
 /** A job that waits for others, as one stored value. */
 class DependentPipelineTest {
     private static ObjectNode body(int tasks, String... prerequisites) {
-        ObjectNode body = Json.object()
-                .put("uid", "run-000009")
-                .put("lane", "merge")
-                .put("desk", "blue")
-                .put("shape", "batch")
-                .put("urgency", "standard")
-                .put("slips", tasks)
-                .put("cores", 1)
-                .put("accelerators", 0)
-                .put("memGb", 2)
-                .put("plate", "img")
-                .put("imageGb", 1.0)
-                .put("samePlace", false)
-                .put("scatter", false)
-                .put("standby", true)
-                .put("expectS", 60)
-                .put("bookmarkS", 0)
-                .put("stashS", 0)
-                .put("dueS", 90);
+        ObjectNode body = PipelineTest.body(tasks).put("uid", "run-000009").put("dueS", 90);
         ArrayNode uids = body.putArray("waitsOn");
         for (String uid : prerequisites) {
             uids.add(uid);
--- a/src/test/java/org/spoolline/pipeline/PipelineTest.java
+++ b/src/test/java/org/spoolline/pipeline/PipelineTest.java
@@ -16,7 +16,8 @@
 
 /** A job as one stored value. */
 class PipelineTest {
-    private static ObjectNode body(int tasks) {
+    /** A submission's body, without prerequisites. */
+    static ObjectNode body(int tasks) {
         return Json.object()
                 .put("uid", "run-000001")
                 .put("lane", "train")
