One place answers from what is stored of a job; callbacks in place of two interfaces that only pass on

Found on reading the whole change again; behaviour stays. Intake wrote 'describe it if it is known, or else' three times. JobReader's receiver was an interface with an adapter for two functions, JobWatch's listener only delegated. An unused parameter, a comment that promised null for a map and a name that said nothing are gone.

--- a/src/main/java/org/spoolline/intake/Ancestors.java
+++ b/src/main/java/org/spoolline/intake/Ancestors.java
@@ -119,20 +119,20 @@
             long sent = loop.now();
             reader.read(
                     uid,
-                    JobReader.receiver(
-                            job -> {
-                                underWay--;
-                                found(uid, job, sent);
-                                goOn();
-                            },
-                            failure -> {
-                                underWay--;
-                                note(
-                                        failure == JobReader.Failure.OUT_OF_BUDGET
-                                                ? Verdict.OUT_OF_BUDGET
-                                                : Verdict.NOT_REACHED);
-                                goOn();
-                            }));
+                    job -> {
+                        underWay--;
+                        found(uid, job, sent);
+                        goOn();
+                    },
+                    failure -> {
+                        underWay--;
+                        note(verdictOf(failure));
+                        goOn();
+                    });
+        }
+
+        private static Verdict verdictOf(JobReader.Failure failure) {
+            return failure == JobReader.Failure.OUT_OF_BUDGET ? Verdict.OUT_OF_BUDGET : Verdict.NOT_REACHED;
         }
 
         private void found(String uid, StoredJob job, long sent) {
--- a/src/main/java/org/spoolline/intake/Intake.java
+++ b/src/main/java/org/spoolline/intake/Intake.java
@@ -134,13 +134,7 @@
 
     /** A job accepted before must not be turned away now, whatever this node thinks of it. */
     private void turnAway(Submission job, int status, String why, Consumer<Http.Response> answer) {
-        lookUp(job.uid(), answer, stored -> {
-            if (stored.known()) {
-                describe(job.uid(), stored, answer);
-            } else {
-                answer.accept(Http.Response.of(status, Json.error(why)));
-            }
-        });
+        describeKnown(job.uid(), answer, () -> answer.accept(Http.Response.of(status, Json.error(why))));
     }
 
     /** Bytes of a new value: attempts need the rest, and a job that waits has none until its prerequisites are dropped. */
@@ -195,13 +189,7 @@
                     ancestors.seen(pipeline, sent);
                     answer.accept(Http.Response.of(201, pipeline.cancelled() ? aborted(uid) : pending(uid)));
                 }
-                case CONFLICT -> lookUp(uid, answer, stored -> {
-                    if (stored.known()) {
-                        describe(uid, stored, answer);
-                    } else {
-                        unavailable(answer);
-                    }
-                });
+                case CONFLICT -> describeKnown(uid, answer, () -> unavailable(answer));
                 default -> unavailable(answer);
             }
         });
@@ -260,13 +248,7 @@
             busy(answer);
             return;
         }
-        lookUp(uid, answer, stored -> {
-            if (stored.known()) {
-                describe(uid, stored, answer);
-            } else {
-                answer.accept(Http.Response.of(404, Json.error("no such job")));
-            }
-        });
+        describeKnown(uid, answer, () -> answer.accept(Http.Response.of(404, Json.error("no such job"))));
     }
 
     private void answered(String uid, byte[] body, Consumer<Http.Response> answer) {
@@ -364,13 +346,24 @@
 
     /** Reads a job from the truth; the answer is given here when that can't be done. */
     private void lookUp(String uid, Consumer<Http.Response> answer, Consumer<StoredJob> found) {
-        reader.read(uid, JobReader.receiver(found, failure -> {
+        reader.read(uid, found, failure -> {
             if (failure == JobReader.Failure.OUT_OF_BUDGET) {
                 busy(answer);
             } else {
                 unavailable(answer);
             }
-        }));
+        });
+    }
+
+    /** Answers with what is stored of the job, or leaves the answer to {@code unknown} where it was never accepted. */
+    private void describeKnown(String uid, Consumer<Http.Response> answer, Runnable unknown) {
+        lookUp(uid, answer, stored -> {
+            if (stored.known()) {
+                describe(uid, stored, answer);
+            } else {
+                unknown.run();
+            }
+        });
     }
 
     /** Answers with the state of a job that is known. */
@@ -396,7 +389,10 @@
         answerLive(uid, known, answer);
     }
 
-    /** A job that waits is cancelled with any job that it needs, also while no leader has written so. */
+    /**
+     * A job that waits is cancelled with any job that it needs, also while no leader has written so. The cancellation is
+     * committed before it is told: other nodes may remember for a while that no prerequisite was cancelled.
+     */
     private void answerLive(String uid, Known known, Consumer<Http.Response> answer) {
         if (known.prerequisites().isEmpty()) {
             answered(uid, known.body(), answer);
@@ -405,7 +401,6 @@
         ancestors.check(known.prerequisites(), verdict -> {
             switch (verdict) {
                 case NONE_CANCELLED -> answered(uid, known.body(), answer);
-                    // Committed first: other nodes may remember for a while that no prerequisite was cancelled.
                 case CANCELLED -> cancel(uid, Constants.CANCEL_TRIES, answer);
                 case OUT_OF_BUDGET -> busy(answer);
                 default -> unavailable(answer);
--- a/src/main/java/org/spoolline/intake/JobReader.java
+++ b/src/main/java/org/spoolline/intake/JobReader.java
@@ -16,13 +16,6 @@
         NOT_REACHED
     }
 
-    /** Who asked for a job. */
-    interface Receiver {
-        void read(StoredJob job);
-
-        void failed(Failure failure);
-    }
-
     private final StateClient state;
     private final Map<String, FinalRecord> records = new RecentlyUsed<>();
 
@@ -35,27 +28,28 @@
         return records.get(uid);
     }
 
-    void read(String uid, Receiver receiver) {
+    /** Reads a job; one of the two hears of it, at once where the budget is spent. */
+    void read(String uid, Consumer<StoredJob> found, Consumer<Failure> failed) {
         if (!state.admit(0)) {
-            receiver.failed(Failure.OUT_OF_BUDGET);
+            failed.accept(Failure.OUT_OF_BUDGET);
             return;
         }
         state.get(SchedulingCycles.JOBS + uid, live -> {
             if (!live.reached()) {
-                receiver.failed(Failure.NOT_REACHED);
+                failed.accept(Failure.NOT_REACHED);
             } else if (live.item().exists()) {
-                receiver.read(new StoredJob(live.item().value(), live.item().version(), null));
+                found.accept(new StoredJob(live.item().value(), live.item().version(), null));
             } else {
-                readRecord(uid, receiver);
+                readRecord(uid, found, failed);
             }
         });
     }
 
-    private void readRecord(String uid, Receiver receiver) {
+    private void readRecord(String uid, Consumer<StoredJob> found, Consumer<Failure> failed) {
         state.force(0);
         state.get(SchedulingCycles.FINALS + uid, last -> {
             if (!last.reached()) {
-                receiver.failed(Failure.NOT_REACHED);
+                failed.accept(Failure.NOT_REACHED);
                 return;
             }
             FinalRecord record =
@@ -63,22 +57,7 @@
             if (record != null) {
                 records.put(uid, record);
             }
-            receiver.read(new StoredJob(null, 0, record));
+            found.accept(new StoredJob(null, 0, record));
         });
     }
-
-    /** A receiver for callers that treat every failure alike. */
-    static Receiver receiver(Consumer<StoredJob> read, Consumer<Failure> failed) {
-        return new Receiver() {
-            @Override
-            public void read(StoredJob job) {
-                read.accept(job);
-            }
-
-            @Override
-            public void failed(Failure failure) {
-                failed.accept(failure);
-            }
-        };
-    }
 }
--- a/src/main/java/org/spoolline/pipeline/Pipeline.java
+++ b/src/main/java/org/spoolline/pipeline/Pipeline.java
@@ -373,8 +373,8 @@
 
     /** The stored form. */
     public ObjectNode encode() {
-        boolean early = waiting() || unlisted > 0;
-        int version = early ? Constants.PIPELINE_VERSION_DEPENDENT : Constants.PIPELINE_VERSION;
+        boolean withoutTasks = waiting() || unlisted > 0;
+        int version = withoutTasks ? Constants.PIPELINE_VERSION_DEPENDENT : Constants.PIPELINE_VERSION;
         ObjectNode value = Json.object().put("ver", version);
         value.set("job", rawSpec);
         value.put("at", releasedAt);
@@ -384,7 +384,7 @@
         if (unlisted > 0) {
             value.put("unlisted", unlisted);
         }
-        if (early) {
+        if (withoutTasks) {
             return value;
         }
         if (submittedAt != releasedAt) {
--- a/src/main/java/org/spoolline/placement/Dependencies.java
+++ b/src/main/java/org/spoolline/placement/Dependencies.java
@@ -88,7 +88,7 @@
         if (waiting.isEmpty()) {
             return;
         }
-        cancelDependents(waiting);
+        cancelDependents();
         for (JobTable.Entry entry : waiting) {
             if (verdictOf(entry.confirmed()) == Verdict.WAITS && allDone(entry.confirmed())) {
                 verdicts.put(entry.confirmed().uid(), Verdict.RELEASED);
@@ -122,13 +122,13 @@
         return next;
     }
 
-    /** The highest priority among the waiting jobs that need this one, directly or through others; null for none. */
+    /** By job, the highest priority among the waiting jobs that need it, directly or through others. */
     Map<String, Submission.Priority> inheritedPriorities() {
         return inherited;
     }
 
     /** Goes from the cancelled jobs to all that need them: a chain of any length is cancelled in one cycle. */
-    private void cancelDependents(List<JobTable.Entry> waiting) {
+    private void cancelDependents() {
         Deque<String> cancelled = new ArrayDeque<>();
         for (String needed : dependents.keySet()) {
             if (cancelled(needed)) {
--- a/src/main/java/org/spoolline/placement/JobWatch.java
+++ b/src/main/java/org/spoolline/placement/JobWatch.java
@@ -11,29 +11,26 @@
 final class JobWatch {
     private static final Logger LOG = LoggerFactory.getLogger(JobWatch.class);
 
-    /** Hears of what has come from the state service. */
-    interface Listener {
-        /** All live pipelines are known, for the first time in this term. */
-        void loaded();
-
-        /** Some pipelines may have changed. */
-        void changed();
-    }
-
     private final Loop loop;
     private final StateClient state;
     private final Freshness freshness;
     private final JobTable jobs;
-    private final Listener listener;
+    private final Runnable onLoaded;
+    private final Runnable onChanged;
     private long term;
     private boolean loaded;
 
-    JobWatch(Loop loop, StateClient state, Freshness freshness, JobTable jobs, Listener listener) {
+    /**
+     * @param onLoaded  runs once a term, when all live pipelines are known
+     * @param onChanged runs when some pipelines may have changed
+     */
+    JobWatch(Loop loop, StateClient state, Freshness freshness, JobTable jobs, Runnable onLoaded, Runnable onChanged) {
         this.loop = loop;
         this.state = state;
         this.freshness = freshness;
         this.jobs = jobs;
-        this.listener = listener;
+        this.onLoaded = onLoaded;
+        this.onChanged = onChanged;
     }
 
     /** Reads the live pipelines, which the election has fenced; with 0 the present term ends. */
@@ -68,10 +65,10 @@
                 loaded = true;
                 LOG.info(
                         "{} live pipelines read under token {}", listing.items().size(), mine);
-                listener.loaded();
+                onLoaded.run();
             }
             watch(mine, listing.revision());
-            listener.changed();
+            onChanged.run();
         });
     }
 
@@ -93,7 +90,7 @@
                 freshness.completeAsOf(sent);
             }
             if (!watched.changes().isEmpty()) {
-                listener.changed();
+                onChanged.run();
             }
             later(
                     watched.reached() ? Constants.WATCH_PAUSE_MS : Constants.RETRY_MS,
--- a/src/main/java/org/spoolline/placement/SchedulingCycles.java
+++ b/src/main/java/org/spoolline/placement/SchedulingCycles.java
@@ -107,7 +107,7 @@
         this.catalog = catalog;
         this.machines = machines;
         this.jobs = jobs;
-        watch = new JobWatch(loop, state, freshness, jobs, new Watched());
+        watch = new JobWatch(loop, state, freshness, jobs, () -> cycleListener.loaded(), this::requestCycle);
         reservations = new Reservations(loop, jobs);
         evaluator = new AttemptEvaluator(loop, settings, catalog, machines, reservations, withNews);
         writes = new Writes(loop, state, leadership, jobs, new Stored());
@@ -458,19 +458,6 @@
         return coming;
     }
 
-    /** What has come from the state service. */
-    private final class Watched implements JobWatch.Listener {
-        @Override
-        public void loaded() {
-            cycleListener.loaded();
-        }
-
-        @Override
-        public void changed() {
-            requestCycle();
-        }
-    }
-
     /** What becomes of the changes that a cycle has decided. */
     private final class Stored implements Writes.Listener {
         @Override
