Diagnostics: counters by cause, the reason of a leader that starts nothing, a last line

Now: counts of answers and starts, given or withheld, once a minute and at GET /counters on the internal address; a leader with waiting jobs that places nothing for 30 s says which reason applies; reads of the jobs say revision and time, failed ones are logged once in 5 s; each process that ends by itself says why last.

--- a/src/main/java/org/spoolline/Controller.java
+++ b/src/main/java/org/spoolline/Controller.java
@@ -1,8 +1,12 @@
 package org.spoolline;
 
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
+import org.spoolline.diagnostics.Counters;
+import org.spoolline.diagnostics.Event;
+import org.spoolline.diagnostics.StallMonitor;
 import org.spoolline.fleet.Catalog;
 import org.spoolline.fleet.Fleet;
 import org.spoolline.intake.Intake;
@@ -23,7 +27,14 @@
 
 /** One controller node: its slices, wired together. Clock, random source and network come from outside. */
 public final class Controller implements Leadership.Listener {
+    /** Where operators read the counters, on the internal address. */
+    public static final String COUNTERS = "/counters";
+
+    private final Settings settings;
     private final Loop loop;
+    private final Counters counters;
+    private final StallMonitor stalls;
+    private final Freshness freshness;
     private final StateClient state;
     private final Leadership leadership;
     private final Catalog catalog;
@@ -37,17 +48,22 @@
     private Runnable oriented = () -> {};
 
     public Controller(Settings settings, Loop loop, Http.Caller http, RandomGenerator random) {
+        this.settings = settings;
         this.loop = loop;
+        counters = new Counters(loop);
+        stalls = new StallMonitor(loop);
         state = new StateClient(loop, http, settings);
-        leadership = new Leadership(loop, random, state, settings, this);
+        leadership = new Leadership(loop, random, state, settings, this, counters);
         catalog = new Catalog(loop, http, settings, state);
         versions = new VersionRegistry(loop, state, settings);
         intake = new Intake(loop, settings, state, catalog, versions, this::cancelled);
-        Freshness freshness = new Freshness(loop, settings, leadership);
+        freshness = new Freshness(loop, settings, leadership);
         MachineTable machines = new MachineTable();
-        cycles = new SchedulingCycles(loop, settings, state, leadership, freshness, catalog, machines, jobs);
+        cycles = new SchedulingCycles(
+                loop, settings, state, leadership, freshness, catalog, machines, jobs, counters, stalls);
         fleet = new Fleet(loop, http, settings, leadership, catalog, machines, cycles::requestCycle);
-        heartbeats = new Heartbeats(loop, http, settings, leadership, freshness, machines, jobs, cycles, cycles::heard);
+        heartbeats = new Heartbeats(
+                loop, http, settings, leadership, freshness, machines, jobs, cycles, cycles::heard, counters);
         cycles.connect(fleet, new SchedulingCycles.CycleListener() {
             @Override
             public void loaded() {
@@ -91,6 +107,7 @@
     }
 
     public void start() {
+        counters.start();
         leadership.start();
         loop.after(Constants.RECORD_VERSION_MS, versions::start);
         catalog.start();
@@ -105,8 +122,12 @@
         if (path.equals("/checkin")) {
             heartbeats.handle(request, answer);
         } else if (Intake.serves(path)) {
-            if (state.reachable() || !peers.forward(request, answer)) {
-                intake.handle(request, answer);
+            Consumer<Http.Response> counted = response -> {
+                counters.count(outcome(response.status()));
+                answer.accept(response);
+            };
+            if (state.reachable() || !peers.forward(request, counted)) {
+                intake.handle(request, counted);
             }
         } else if (path.equals("/healthz")) {
             answer.accept(Http.Response.of(healthy() ? 200 : 503, new byte[0]));
@@ -115,9 +136,39 @@
         }
     }
 
-    /** Serves the other controllers. */
+    /** Serves the other controllers, and operators who read the counters. */
     public void servePeer(Http.Request request, Consumer<Http.Response> answer) {
-        peers.handle(request, answer);
+        if (request.path().equals(COUNTERS)) {
+            answer.accept(Http.Response.of(200, Json.bytes(status())));
+        } else {
+            peers.handle(request, answer);
+        }
+    }
+
+    private static Event outcome(int status) {
+        return switch (status) {
+            case 200, 201 -> Event.USER_SERVED;
+            case 429 -> Event.USER_BUDGET_SPENT;
+            case 503, 504 -> Event.USER_UNAVAILABLE;
+            default -> Event.USER_REFUSED;
+        };
+    }
+
+    /** Who leads as far as this node knows, what its own term rests on, and the counters. */
+    private ObjectNode status() {
+        ObjectNode status = Json.object()
+                .put("node", settings.node())
+                .put("leader", leadership.knownLeader())
+                .put("token", leadership.knownToken())
+                .put("leads", leadership.leads())
+                .put("leadershipValid", leadership.valid())
+                .put("mayLaunch", freshness.mayLaunch())
+                .put("stateReachable", state.reachable())
+                .put("machineTypesKnown", catalog.known());
+        StallMonitor.Situation stalled = leadership.leads() ? stalls.lastSeen() : null;
+        status.put("stalled", stalled == null ? null : stalled.toString());
+        status.set("counts", counters.toJson());
+        return status;
     }
 
     /** In an outage common to all, leaving the load balancer helps nobody; a node cut off alone should leave it. */
--- a/src/main/java/org/spoolline/cli/Main.java
+++ b/src/main/java/org/spoolline/cli/Main.java
@@ -62,8 +62,8 @@
         switch (level) {
             case "error", "info", "debug" -> {}
             default -> {
-                System.err.println("spoolline: LOG_LEVEL must be error, info or debug, not " + level);
-                System.exit(2);
+                System.exit(ProcessEnd.say(
+                        ProcessEnd.BAD_SETTINGS, "LOG_LEVEL must be error, info or debug, not " + level));
             }
         }
         System.getProperties().putIfAbsent("javax.management.builder.initial", NoManagement.class.getName());
@@ -98,8 +98,7 @@
 
     private int serveOrCheck() {
         if (config == null) {
-            System.err.println("spoolline: --config FILE is needed, see --help");
-            return 2;
+            return ProcessEnd.say(ProcessEnd.BAD_SETTINGS, "--config FILE is needed, see --help");
         }
         Settings settings;
         try {
@@ -108,8 +107,7 @@
                 settings = settings.with(OperatorSettings.read(operator));
             }
         } catch (SettingsException e) {
-            System.err.println("spoolline: " + e.getMessage());
-            return 2;
+            return ProcessEnd.say(ProcessEnd.BAD_SETTINGS, e.getMessage());
         }
         if (check) {
             System.out.println("settings of " + settings.node() + " are fine");
@@ -128,9 +126,9 @@
                 loop.after(Constants.BIND_RETRY_MS, () -> listen(loop, server, address, handler, tries - 1));
                 return;
             }
-            System.err.println("spoolline: can't serve on " + address + ": "
-                    + (cause instanceof BindException ? "address in use or not ours" : cause));
-            Runtime.getRuntime().halt(1);
+            String why = cause instanceof BindException ? "address in use or not ours" : cause.toString();
+            Runtime.getRuntime()
+                    .halt(ProcessEnd.say(ProcessEnd.CANNOT_START, "can't serve on " + address + ": " + why));
         }
     }
 
@@ -172,8 +170,7 @@
             worker.awaitTermination();
             return 0;
         } catch (IOException | InterruptedException | RuntimeException e) {
-            System.err.println("spoolline: can't start: " + rootOf(e));
-            return 1;
+            return ProcessEnd.say(ProcessEnd.CANNOT_START, "can't start: " + rootOf(e));
         }
     }
 
@@ -195,6 +192,15 @@
                 settings.node(),
                 settings.serveOn(),
                 settings.internalAddress());
+        log.info(
+                "{} controllers, {} teams, workers' lease {} ms, cancellations {} ms, leadership {} ms, state {}, heap {} MiB",
+                settings.nodes(),
+                settings.teams().size(),
+                settings.workers().leaseMs(),
+                settings.workers().cancelMs(),
+                settings.leadershipMs(),
+                settings.state(),
+                Runtime.getRuntime().maxMemory() >> 20);
         settings.shortages().forEach(s -> log.error("too little to serve in full: {}", s));
         // After a crash of all controllers a thousand workers come at once, to a process that is cold: they would keep
         // it
--- a/src/main/java/org/spoolline/leadership/Leadership.java
+++ b/src/main/java/org/spoolline/leadership/Leadership.java
@@ -5,6 +5,8 @@
 import java.util.random.RandomGenerator;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.spoolline.diagnostics.Counters;
+import org.spoolline.diagnostics.Event;
 import org.spoolline.net.Json;
 import org.spoolline.net.Loop;
 import org.spoolline.settings.Constants;
@@ -38,6 +40,7 @@
     private final StateClient state;
     private final Settings settings;
     private final Listener listener;
+    private final Counters counters;
 
     private String knownLeader;
     private long knownToken;
@@ -51,12 +54,19 @@
     private boolean standing;
     private long mayStandAt = Long.MIN_VALUE;
 
-    public Leadership(Loop loop, RandomGenerator random, StateClient state, Settings settings, Listener listener) {
+    public Leadership(
+            Loop loop,
+            RandomGenerator random,
+            StateClient state,
+            Settings settings,
+            Listener listener,
+            Counters counters) {
         this.loop = loop;
         this.random = random;
         this.state = state;
         this.settings = settings;
         this.listener = listener;
+        this.counters = counters;
     }
 
     public void start() {
@@ -241,8 +251,10 @@
         state.commit(txn, outcome -> {
             standing = false;
             if (outcome.fate() != StateClient.Fate.APPLIED) {
+                boolean lost = outcome.fate() == StateClient.Fate.CONFLICT;
+                counters.count(lost ? Event.ELECTION_LOST : Event.ELECTION_UNANSWERED);
                 // An election without an answer may have been applied: the key then names us, with nobody leading.
-                loop.after(outcome.fate() == StateClient.Fate.CONFLICT ? 0 : Constants.RETRY_MS, this::observe);
+                loop.after(lost ? 0 : Constants.RETRY_MS, this::observe);
                 return;
             }
             leading = true;
@@ -253,7 +265,12 @@
             knownLeader = settings.node();
             knownToken = Math.max(knownToken, next);
             state.leading(true);
-            LOG.info("elected with token {}", token);
+            counters.count(Event.ELECTION_WON);
+            LOG.info(
+                    "elected with token {} at revision {}, {} ms after standing",
+                    token,
+                    keyVersion,
+                    loop.now() - leaseSent);
             listener.elected(token, keyVersion);
             renewing = false;
             renewAfter(settings.renewMs());
--- a/src/main/java/org/spoolline/placement/JobWatch.java
+++ b/src/main/java/org/spoolline/placement/JobWatch.java
@@ -2,6 +2,8 @@
 
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.spoolline.diagnostics.Counters;
+import org.spoolline.diagnostics.Event;
 import org.spoolline.leadership.Freshness;
 import org.spoolline.net.Loop;
 import org.spoolline.settings.Constants;
@@ -17,26 +19,41 @@
     private final JobTable jobs;
     private final Runnable onLoaded;
     private final Runnable onChanged;
+    private final Counters counters;
     private long term;
     private boolean loaded;
+    /** When reading was first tried since it last worked. */
+    private long tryingSince;
+
+    private long failureLoggedAt;
 
     /**
      * @param onLoaded  runs once a term, when all live pipelines are known
      * @param onChanged runs when some pipelines may have changed
      */
-    JobWatch(Loop loop, StateClient state, Freshness freshness, JobTable jobs, Runnable onLoaded, Runnable onChanged) {
+    JobWatch(
+            Loop loop,
+            StateClient state,
+            Freshness freshness,
+            JobTable jobs,
+            Runnable onLoaded,
+            Runnable onChanged,
+            Counters counters) {
         this.loop = loop;
         this.state = state;
         this.freshness = freshness;
         this.jobs = jobs;
         this.onLoaded = onLoaded;
         this.onChanged = onChanged;
+        this.counters = counters;
     }
 
     /** Reads the live pipelines, which the election has fenced; with 0 the present term ends. */
     void begin(long token) {
         term = token;
         loaded = false;
+        tryingSince = loop.now();
+        failureLoggedAt = loop.now();
         if (token != 0) {
             load(token);
         }
@@ -54,6 +71,7 @@
                 return;
             }
             if (!listing.reached()) {
+                failed(Event.JOBS_LISTING_FAILED);
                 later(Constants.RETRY_MS, mine, () -> load(mine));
                 return;
             }
@@ -61,10 +79,16 @@
                 jobs.seen(new StateClient.Change(item.key(), item.value(), item.version()), uid(item.key()));
             }
             freshness.completeAsOf(sent);
+            counters.count(Event.JOBS_LISTED);
+            tryingSince = loop.now();
             if (!loaded) {
                 loaded = true;
                 LOG.info(
-                        "{} live pipelines read under token {}", listing.items().size(), mine);
+                        "{} live pipelines read under token {} at revision {} in {} ms",
+                        listing.items().size(),
+                        mine,
+                        listing.revision(),
+                        loop.now() - sent);
                 onLoaded.run();
             }
             watch(mine, listing.revision());
@@ -79,13 +103,17 @@
                 return;
             }
             if (watched.tooOld()) {
+                counters.count(Event.JOBS_WATCH_TOO_OLD);
                 load(mine);
                 return;
             }
             for (StateClient.Change change : watched.changes()) {
                 jobs.seen(change, uid(change.key()));
             }
-            if (watched.reached()) {
+            if (!watched.reached()) {
+                failed(Event.JOBS_WATCH_FAILED);
+            } else {
+                tryingSince = loop.now();
                 jobs.watchedUpTo(watched.revision());
                 freshness.completeAsOf(sent);
             }
@@ -99,6 +127,15 @@
         });
     }
 
+    /** A leader that can't read the jobs starts nothing: that is said, though not for each try. */
+    private void failed(Event what) {
+        counters.count(what);
+        if (loop.now() - failureLoggedAt >= Constants.READ_FAILURE_LOG_MS) {
+            failureLoggedAt = loop.now();
+            LOG.warn("the live pipelines were not read for {} ms: {}", loop.now() - tryingSince, what.label());
+        }
+    }
+
     /** Runs the task on the loop, unless the term has ended by then. */
     private void later(long delayMs, long mine, Runnable task) {
         loop.after(delayMs, () -> {
--- a/src/main/java/org/spoolline/placement/SchedulingCycles.java
+++ b/src/main/java/org/spoolline/placement/SchedulingCycles.java
@@ -11,6 +11,9 @@
 import java.util.Set;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.spoolline.diagnostics.Counters;
+import org.spoolline.diagnostics.Event;
+import org.spoolline.diagnostics.StallMonitor;
 import org.spoolline.fleet.Catalog;
 import org.spoolline.fleet.Fleet;
 import org.spoolline.fleet.MachineType;
@@ -54,6 +57,9 @@
     private final JobWatch watch;
     private final Writes writes;
     private final Dependencies dependencies;
+    private final Counters counters;
+    private final StallMonitor stalls;
+    private final StallInspector inspector;
     private Fleet fleet;
     private CycleListener cycleListener;
 
@@ -61,6 +67,8 @@
     private final AttemptEvaluator evaluator;
     private final CyclePacer pacer;
     private int lastBatch;
+    private boolean lastCycleFailed;
+
     private long lastCycleAt;
     /** Gang tasks whose machine has the image, while others of the gang have to fetch it. */
     private final Map<String, Set<Machine.Start>> afterMates = new HashMap<>();
@@ -98,7 +106,9 @@
             Freshness freshness,
             Catalog catalog,
             MachineTable machines,
-            JobTable jobs) {
+            JobTable jobs,
+            Counters counters,
+            StallMonitor stalls) {
         this.loop = loop;
         this.settings = settings;
         this.state = state;
@@ -107,10 +117,13 @@
         this.catalog = catalog;
         this.machines = machines;
         this.jobs = jobs;
-        watch = new JobWatch(loop, state, freshness, jobs, () -> cycleListener.loaded(), this::requestCycle);
+        this.counters = counters;
+        this.stalls = stalls;
+        watch = new JobWatch(loop, state, freshness, jobs, () -> cycleListener.loaded(), this::requestCycle, counters);
         reservations = new Reservations(loop, jobs);
         evaluator = new AttemptEvaluator(loop, settings, catalog, machines, reservations, withNews);
         writes = new Writes(loop, state, leadership, jobs, new Stored());
+        inspector = new StallInspector(leadership, catalog, jobs, watch, writes);
         dependencies = new Dependencies(loop, state, jobs, this::requestCycle);
         pacer = new CyclePacer(loop, settings, this::runCycle);
     }
@@ -141,6 +154,8 @@
         fullUntil.clear();
         sweptAt = loop.now();
         vacatedAt = loop.now();
+        lastCycleFailed = false;
+        stalls.begin();
         watch.begin(token);
         tick(token);
     }
@@ -162,6 +177,7 @@
         if (loop.now() - lastCycleAt >= Constants.CYCLE_IDLE_MS) {
             requestCycle();
         }
+        stalls.check(() -> inspector.inspect(machines.usable(loop.now(), settings.quietMs()), lastCycleFailed));
         loop.after(Constants.CYCLE_IDLE_MS, () -> tick(mine));
     }
 
@@ -207,8 +223,19 @@
 
     private void runCycle() {
         if (!watch.loaded() || !leadership.valid()) {
+            counters.count(watch.loaded() ? Event.CYCLE_WITHHELD_LEADERSHIP_LAPSED : Event.CYCLE_WITHHELD_JOBS_UNREAD);
             return;
         }
+        lastCycleFailed = true;
+        try {
+            decide();
+            lastCycleFailed = false;
+        } finally {
+            counters.count(lastCycleFailed ? Event.CYCLE_FAILED : Event.CYCLE_COMPLETED);
+        }
+    }
+
+    private void decide() {
         lastCycleAt = loop.now();
         reservations.lapse();
         boolean sweep = loop.now() - sweptAt >= Constants.SWEEP_MS;
@@ -352,23 +379,12 @@
             }
             all.add(e.getValue());
         }
-        List<Machine> usable = new ArrayList<>();
-        for (Machine m : machines.all()) {
-            if (!m.gone()
-                    && !m.draining()
-                    && m.heard()
-                    && !m.deaf()
-                    && m.noticeS() == null
-                    && loop.now() - m.heardAt() < settings.quietMs()) {
-                usable.add(m);
-            }
-        }
         return new ClusterSnapshot(
                 all,
                 holding,
                 placeable,
                 machines.byName(),
-                usable,
+                machines.usable(loop.now(), settings.quietMs()),
                 reservations.jobsByMachine(),
                 warm,
                 dependencies.inheritedPriorities(),
@@ -433,6 +449,10 @@
         if (spec.gang()) {
             afterMates.put(uid, atHand);
         }
+        if (!added.isEmpty()) {
+            counters.count(Event.TASK_PLACED, added.size());
+            stalls.progress();
+        }
         if (!added.isEmpty() && change == null) {
             changes.put(uid, new Writes.Change(entry, next));
         }
--- a/src/main/java/org/spoolline/settings/Constants.java
+++ b/src/main/java/org/spoolline/settings/Constants.java
@@ -248,6 +248,12 @@
     public static final int REHEARSED_CHECK_INS = 12;
     /** Ms between two log lines on the state service's latency. */
     public static final long LATENCY_LOG_MS = 60_000;
+    /** Ms between two log lines of the counters: one line a minute costs nothing on the smallest share of a core. */
+    public static final long COUNTERS_LOG_MS = 60_000;
+    /** Ms between two log lines about jobs that can't be read. */
+    public static final long READ_FAILURE_LOG_MS = 5_000;
+    /** Ms without a start after which a leader with waiting jobs says why: above a usual boot and image fetch. */
+    public static final long STALL_MS = 30_000;
     /** Report times without any check-in after which a leader gives way to a peer that workers reach. */
     public static final double DEAF_REPORTS = 2.4;
     /** Ms for which a node that gave way does not stand again. */
--- a/src/main/java/org/spoolline/workers/Heartbeats.java
+++ b/src/main/java/org/spoolline/workers/Heartbeats.java
@@ -11,6 +11,8 @@
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.spoolline.diagnostics.Counters;
+import org.spoolline.diagnostics.Event;
 import org.spoolline.leadership.Freshness;
 import org.spoolline.leadership.Leadership;
 import org.spoolline.net.Http;
@@ -47,6 +49,7 @@
     private final JobTable jobs;
     private final DesiredState desiredState;
     private final Consumer<Machine> news;
+    private final Counters counters;
     private final Map<String, Held> waiting = new LinkedHashMap<>();
     /** Machines to be nudged once others have answered: a nudge takes a socket, and sockets are few. */
     private final Set<String> toNudge = new LinkedHashSet<>();
@@ -64,7 +67,8 @@
             MachineTable machines,
             JobTable jobs,
             DesiredState desiredState,
-            Consumer<Machine> news) {
+            Consumer<Machine> news,
+            Counters counters) {
         this.loop = loop;
         this.http = http;
         this.settings = settings;
@@ -75,6 +79,7 @@
         this.jobs = jobs;
         this.desiredState = desiredState;
         this.news = news;
+        this.counters = counters;
     }
 
     /** True when a worker has come here lately, whatever it was answered. */
@@ -101,6 +106,7 @@
         }
         Report report = Report.parse(request.body());
         if (report == null) {
+            counters.count(Event.HEARTBEAT_MALFORMED);
             answer.accept(Http.Response.of(400, Json.error("not a check-in")));
             return;
         }
@@ -113,12 +119,14 @@
         Machine machine = machines.meet(report.machine(), report.type(), report.zone(), report.spot(), loop.now());
         if (machine.gone()) {
             // Its attempts may have been started elsewhere: renewing its lease could bring a task to life twice.
+            counters.count(Event.HEARTBEAT_OF_GONE_MACHINE);
             answer.accept(new Http.Response(503, Json.error("machine is gone"), 0));
             return;
         }
         if (!leadership.valid() && machine.looksAround(loop.now(), leaseMs / Constants.LOOKS_PER_LEASE)) {
             // Without the state service nobody here can tell an outage from a cut. A worker that asks the others and
             // comes back has found no new leader; one that stays away has, and need not wait for our time to end.
+            counters.count(Event.HEARTBEAT_SENT_TO_OTHERS);
             answer.accept(Http.Response.of(503, Json.error("no contact with the state service")));
             return;
         }
@@ -126,6 +134,7 @@
         Machine.Brings brings = machine.accept(report, leaseMs, loop.now());
         if (brings == Machine.Brings.NOTHING) {
             // A late copy: the worker has long gone on, so the answer reaches nobody. It renews nothing.
+            counters.count(Event.HEARTBEAT_OUTDATED);
             answer.accept(Http.Response.of(503, Json.error("an older report")));
             return;
         }
@@ -205,6 +214,7 @@
 
         void answer(boolean withOrders) {
             if (!freshness.mayRenewLeases() || machine.gone()) {
+                counters.count(machine.gone() ? Event.HEARTBEAT_OF_GONE_MACHINE : Event.HEARTBEAT_VIEW_TOO_OLD);
                 answer.accept(Http.Response.of(503, Json.error("too long without contact to renew a lease")));
                 return;
             }
@@ -214,11 +224,15 @@
             if (withOrders && ready && machine.session() == session && machine.tick() == tick) {
                 if (freshness.mayLaunch()) {
                     give(machine, orders);
-                } else if (freshness.mayStopCancelled()) {
-                    stopCancelled(machine, orders);
+                } else {
+                    counters.count(Event.LAUNCH_WITHHELD_VIEW_TOO_OLD);
+                    if (freshness.mayStopCancelled()) {
+                        stopCancelled(machine, orders);
+                    }
                 }
             }
             machine.answered(token, loop.now());
+            counters.count(Event.HEARTBEAT_RENEWED);
             answer.accept(Http.Response.of(200, Json.bytes(body)));
         }
     }
@@ -270,6 +284,7 @@
 
     private void redirect(Consumer<Http.Response> answer) {
         String leader = leadership.knownLeader();
+        counters.count(leader == null ? Event.HEARTBEAT_WITHOUT_LEADER : Event.HEARTBEAT_REDIRECTED);
         if (leader == null) {
             answer.accept(Http.Response.of(503, Json.error("no leader is known")));
         } else {
@@ -301,8 +316,9 @@
                     && e.getValue().session() == machine.session()
                     && !machine.tasks().containsKey(start)
                     && grace(start, e.getValue()) == null
-                    && desiredState.mayLaunch(start)
+                    && mayLaunch(start)
                     && noOtherAttempt(machine, start)) {
+                counters.count(Event.LAUNCH_ORDERED);
                 order(orders, "launch", start);
                 machine.launched(start);
                 LOG.debug("launch {}/{} attempt {} on {}", start.uid(), start.task(), start.attempt(), machine.name());
@@ -310,6 +326,14 @@
         }
     }
 
+    private boolean mayLaunch(Machine.Start start) {
+        boolean may = desiredState.mayLaunch(start);
+        if (!may) {
+            counters.count(Event.LAUNCH_WITHHELD_GANG_FETCHES);
+        }
+        return may;
+    }
+
     /** Without a young view: the ends of tasks whose jobs are known to be cancelled, and no more. */
     private void stopCancelled(Machine machine, ArrayNode orders) {
         machine.tasks().forEach((start, report) -> {
@@ -320,8 +344,9 @@
         });
     }
 
-    private static void stop(ArrayNode orders, Machine machine, Machine.Start start, double grace) {
+    private void stop(ArrayNode orders, Machine machine, Machine.Start start, double grace) {
         order(orders, "kill", start).put("windDownS", grace);
+        counters.count(Event.STOP_ORDERED);
         LOG.debug(
                 "stop {}/{} attempt {} on {}, grace {} s",
                 start.uid(),
--- a/src/main/java/org/spoolline/workers/MachineTable.java
+++ b/src/main/java/org/spoolline/workers/MachineTable.java
@@ -1,7 +1,9 @@
 package org.spoolline.workers;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 
 /** Every machine the leader has heard of, by name; gone ones stay, so that late words from them are recognised. */
@@ -27,4 +29,20 @@
     public void clear() {
         machines.clear();
     }
+
+    /** Machines that take work: they report, hear the leader's answers and are not about to leave. */
+    public List<Machine> usable(long now, long quietMs) {
+        List<Machine> usable = new ArrayList<>();
+        for (Machine machine : all()) {
+            if (!machine.gone()
+                    && !machine.draining()
+                    && machine.heard()
+                    && !machine.deaf()
+                    && machine.noticeS() == null
+                    && now - machine.heardAt() < quietMs) {
+                usable.add(machine);
+            }
+        }
+        return usable;
+    }
 }
--- a/src/test/java/org/spoolline/leadership/LeadershipTest.java
+++ b/src/test/java/org/spoolline/leadership/LeadershipTest.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
+import org.spoolline.diagnostics.Counters;
 import org.spoolline.net.FakeLoop;
 import org.spoolline.net.Http;
 import org.spoolline.net.Json;
@@ -52,7 +53,8 @@
 
                 @Override
                 public void deposed(String why) {}
-            });
+            },
+            new Counters(loop));
 
     private void state(
             String target,
