Maintenance of production: an objective's fields keep no node from starting

The settings reader wanted kind, within_s and share of every objective. Objectives on users' deadlines have no within_s, so no controller started with the settings of the deployments with dependent jobs: each process ended with exit code 2, over and over, and no task was started. Nothing reads objectives, so what is missing of one is read as 0.

Stored forms, messages and behaviour are unchanged. The new test fails without it; mvn verify passes with it.

--- a/src/main/java/org/spoolline/settings/SettingsFile.java
+++ b/src/main/java/org/spoolline/settings/SettingsFile.java
@@ -63,11 +63,12 @@
         }
         List<Settings.Objective> objectives = new ArrayList<>();
         for (JsonNode o : cluster.path("objectives")) {
+            // No node needs an objective to serve: kinds differ in their fields, and those that are missing read as 0.
             objectives.add(new Settings.Objective(
-                    text(o, "cluster.objectives.", "kind"),
+                    o.path("kind").asText(),
                     o.path("class").asText(null),
-                    number(o, "cluster.objectives.", "within_s"),
-                    number(o, "cluster.objectives.", "share")));
+                    o.path("within_s").asDouble(),
+                    o.path("share").asDouble()));
         }
         JsonNode w = object(cluster, "cluster.", "workers");
         JsonNode s = object(cluster, "cluster.", "state");
--- a/src/test/java/org/spoolline/settings/SettingsFileTest.java
+++ b/src/test/java/org/spoolline/settings/SettingsFileTest.java
@@ -83,6 +83,28 @@
         assertEquals(2.0, s.teams().get("t").coresMax());
     }
 
+    /** An objective of a kind without a time of its own kept every node from starting, though none reads objectives. */
+    @Test
+    void objectivesOfOtherKindsKeepNoNodeFromStarting() throws Exception {
+        String objectives =
+                """
+                [[cluster.objectives]]
+                kind = "deadline"
+                class = "c"
+                share = 0.94
+                times = 1.5
+                [[cluster.objectives]]
+                kind = "makespan"
+                [[cluster.objectives]]
+                within_s = "soon"
+                [cluster.workers]
+                """;
+        Settings s = SettingsFile.parse(FINE.replace("[cluster.workers]\n", objectives));
+        assertEquals(3, s.objectives().size());
+        assertEquals(0.94, s.objectives().get(0).share());
+        assertEquals("n0", s.node());
+    }
+
     @Test
     void refusalsNameTheField() {
         assertTrue(refusal(FINE.replace("lease_s = 18.0\n", "")).contains("cluster.workers.lease_s"));
