--- a/src/test/java/org/spoolline/upgrade/RecordedProduction.java
+++ b/src/test/java/org/spoolline/upgrade/RecordedProduction.java
@@ -20,11 +20,11 @@
 
 /**
  * The code of the version that deploy/service.toml records as production, taken from the repository's history and
- * compiled for a test. Only the packages that a test asks for are built.
+ * compiled for a test.
  */
 final class RecordedProduction {
     private static final Path DEPLOY_FILE = Path.of("deploy/service.toml");
-    private static final String SOURCE_ROOT = "src/main/java/";
+    private static final String SOURCE_ROOT = "src/main/java";
 
     private RecordedProduction() {}
 
@@ -35,20 +35,18 @@
     }
 
     /**
-     * Compiles some packages of the recorded commit into {@code directory}. The loader that is returned takes
-     * spoolline's classes from there alone, and all others from the test's class path.
+     * Compiles the recorded commit into {@code directory}. The loader that is returned takes spoolline's classes from
+     * there alone, and all others from the test's class path.
      */
-    static URLClassLoader load(Path directory, String... packages) throws IOException, InterruptedException {
+    static URLClassLoader load(Path directory) throws IOException, InterruptedException {
         String commit = commit();
         List<Path> sources = new ArrayList<>();
-        for (String name : packages) {
-            String folder = SOURCE_ROOT + name.replace('.', '/') + "/";
-            for (String file : git("ls-tree", "--name-only", commit, folder).split("\n")) {
-                Path source = directory.resolve(file);
-                Files.createDirectories(source.getParent());
-                Files.writeString(source, git("show", commit + ":" + file));
-                sources.add(source);
-            }
+        for (String file :
+                git("ls-tree", "-r", "--name-only", commit, SOURCE_ROOT).split("\n")) {
+            Path source = directory.resolve(file);
+            Files.createDirectories(source.getParent());
+            Files.writeString(source, git("show", commit + ":" + file));
+            sources.add(source);
         }
         Path classes = Files.createDirectories(directory.resolve("classes"));
         compile(sources, classes);
@@ -60,7 +58,7 @@
         StringWriter messages = new StringWriter();
         try (StandardJavaFileManager files = compiler.getStandardFileManager(null, null, StandardCharsets.UTF_8)) {
             Iterable<? extends JavaFileObject> units = files.getJavaFileObjectsFromPaths(sources);
-            // Without the class path's own classes of this version: what a package lacks must be asked for too.
+            // Without this version's own classes on the path: production must compile by itself.
             List<String> options = List.of("-d", classes.toString(), "-proc:none", "-Xlint:none", "-cp", libraries());
             if (!compiler.getTask(messages, files, null, options, null, units).call()) {
                 throw new IOException("production does not compile: " + messages);
--- a/src/test/java/org/spoolline/upgrade/RecordedProductionTest.java
+++ b/src/test/java/org/spoolline/upgrade/RecordedProductionTest.java
@@ -2,11 +2,17 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import java.lang.reflect.InvocationTargetException;
 import java.net.URLClassLoader;
 import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.spoolline.intake.FinalRecord;
+import org.spoolline.net.Json;
 
 /** The version that a rolling upgrade begins with, run from the repository's history. */
 class RecordedProductionTest {
@@ -66,25 +72,52 @@
             sockets = 2500
             """;
 
+    private static URLClassLoader production;
+
+    @BeforeAll
+    static void compileProduction(@TempDir Path directory) throws Exception {
+        production = RecordedProduction.load(directory);
+    }
+
+    @AfterAll
+    static void closeProduction() throws Exception {
+        production.close();
+    }
+
     /**
      * The settings of both versions are those of the upgrade. Production refused them, so none of its processes served
      * and no task was started.
      */
     @Test
-    void productionReadsTheSettingsOfTheUpgrade(@TempDir Path directory) throws Exception {
-        try (URLClassLoader production =
-                RecordedProduction.load(directory, "org.spoolline.codec", "org.spoolline.settings")) {
-            Class<?> settingsFile = production.loadClass("org.spoolline.settings.SettingsFile");
-            Object settings = parse(settingsFile, UPGRADE_SETTINGS);
-            assertEquals("n0", settings.getClass().getMethod("node").invoke(settings));
+    void productionReadsTheSettingsOfTheUpgrade() throws Exception {
+        Object settings = call("settings.SettingsFile", "parse", String.class, UPGRADE_SETTINGS);
+        assertEquals("n0", settings.getClass().getMethod("node").invoke(settings));
+    }
+
+    /** The data kept as what production writes is what the recorded commit reads and writes. */
+    @Test
+    void productionReadsAndWritesTheValuesKeptAsItsOwn() throws Exception {
+        for (String file : List.of("accepted.json", "wide.json", "wide-cancelled.json")) {
+            JsonNode kept = Json.read(ProductionForms.bytes(file));
+            Object pipeline = call("pipeline.Pipeline", "decode", JsonNode.class, kept);
+            JsonNode written =
+                    (JsonNode) pipeline.getClass().getMethod("encode").invoke(pipeline);
+            assertEquals(kept, Json.read(Json.bytes(written)), file);
+        }
+        for (String file : List.of("final-done.json", "final-aborted.json")) {
+            JsonNode kept = Json.read(ProductionForms.bytes(file));
+            Object record = call("intake.FinalRecord", "decode", JsonNode.class, kept);
+            assertEquals(FinalRecord.decode(kept).toString(), record.toString(), file);
         }
     }
 
-    private static Object parse(Class<?> settingsFile, String toml) throws Exception {
+    /** Calls a static method of production's; what it refuses fails the test. */
+    private static <T> Object call(String className, String method, Class<T> type, T argument) throws Exception {
+        Class<?> target = production.loadClass("org.spoolline." + className);
         try {
-            return settingsFile.getMethod("parse", String.class).invoke(null, toml);
+            return target.getMethod(method, type).invoke(null, argument);
         } catch (InvocationTargetException e) {
-            throw new AssertionError("production refuses the settings: " + e.getCause(), e.getCause());
+            throw new AssertionError("production refuses: " + e.getCause(), e.getCause());
         }
     }
 }
