--- a/src/test/java/org/spoolline/settings/SettingsFileTest.java
+++ b/src/test/java/org/spoolline/settings/SettingsFileTest.java
@@ -6,6 +6,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.nio.file.Path;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 
 /** The platform's file, checked. */
@@ -84,6 +85,55 @@
         assertEquals(2.0, s.teams().get("t").coresMax());
     }
 
+    /**
+     * Only what a node can't serve or keep a rule without may keep it from starting: a refusal that was not needed once
+     * held a whole deployment down. Each other field may be missing, or be anything at all.
+     */
+    @Test
+    void fieldsThatANodeCanServeWithoutKeepNoNodeFromStarting() throws Exception {
+        for (String field : List.of(
+                "domain = \"a\"",
+                "count = 1",
+                "report_s = 3.0",
+                "gang_wait_s = 30.0",
+                "gang_peer_s = 5.0",
+                "rps = 100.0",
+                "write_rps = 40.0",
+                "value_kb = 8.0",
+                "txn_ops = 12",
+                "rps = 10.0",
+                "list_lag_s = 6.0",
+                "cpu_share = 0.34",
+                "ram_mb = 320.0",
+                "sockets = 2500",
+                "cpus = 1.0",
+                "gpus = 0.0")) {
+            assertTrue(FINE.contains("\n" + field + "\n"), field);
+            String name = field.substring(0, field.indexOf(' '));
+            for (String odd : List.of("", name + " = \"odd\"", name + " = -1", name + " = nan", name + " = [1]")) {
+                Settings s = SettingsFile.parse(FINE.replace("\n" + field + "\n", "\n" + odd + "\n"));
+                assertEquals("n0", s.node(), odd);
+            }
+        }
+        for (String table : List.of("cloud", "quota", "state")) {
+            assertEquals(
+                    "n0",
+                    SettingsFile.parse(FINE.replace("[cluster." + table + "]", "[cluster.other]"))
+                            .node());
+        }
+        for (String odd :
+                List.of("next = 3", "[cluster.state.next]\nvalue_kb = 0", "[cluster.state.next]\nrps = \"x\"")) {
+            assertEquals(
+                    "n0",
+                    SettingsFile.parse(FINE.replace("txn_ops = 12", "txn_ops = 12\n" + odd))
+                            .node());
+        }
+        assertEquals(
+                "n0",
+                SettingsFile.parse(FINE + "[[cluster.objectives]]\nkind = 1\nwithin_s = -1\n")
+                        .node());
+    }
+
     @Test
     void refusalsNameTheField() {
         assertTrue(refusal(FINE.replace("lease_s = 18.0\n", "")).contains("cluster.workers.lease_s"));
