Settings: only what a node can't serve or keep a rule without keeps it from starting

This version still refused a missing or odd domain, count, heartbeat interval, gang time, limit of the state service or the cloud, quota, objective and announced limit. Each is now told with field and value, and replaced by a default that allows no more than the settings might have.

--- a/src/main/java/org/spoolline/cli/Main.java
+++ b/src/main/java/org/spoolline/cli/Main.java
@@ -42,6 +42,8 @@
         version = "spoolline 0.1.0",
         description = "Cluster scheduler: runs one controller node until it is killed.")
 public final class Main implements Callable<Integer> {
+    private static final long BYTES_PER_MIB = 1024 * 1024;
+
     @Option(names = "--config", paramLabel = "FILE", description = "Settings file (TOML).")
     private Path config;
 
@@ -100,20 +102,35 @@
         if (config == null) {
             return ProcessEnd.say(ProcessEnd.BAD_SETTINGS, "--config FILE is needed, see --help");
         }
-        Settings settings;
+        SettingsFile.Loaded loaded;
+        OperatorSettings own;
         try {
-            settings = SettingsFile.read(config);
-            if (operator != null) {
-                settings = settings.with(OperatorSettings.read(operator));
-            }
+            loaded = SettingsFile.load(config);
+            own = operator == null ? OperatorSettings.DEFAULTS : OperatorSettings.read(operator);
         } catch (SettingsException e) {
             return ProcessEnd.say(ProcessEnd.BAD_SETTINGS, e.getMessage());
         }
         if (check) {
-            System.out.println("settings of " + settings.node() + " are fine");
+            return report(loaded);
+        }
+        Logger log = LoggerFactory.getLogger(Main.class);
+        loaded.replacements().forEach(replacement -> log.error("{}", replacement));
+        if (!loaded.unknownFields().isEmpty()) {
+            log.info("settings fields that this version does not know: {}", loaded.unknownFields());
+        }
+        return serve(loaded.settings().with(own));
+    }
+
+    /** What {@code --check} says: fine only when a node would use every field as it is written. */
+    private static int report(SettingsFile.Loaded loaded) {
+        String node = loaded.settings().node();
+        loaded.unknownFields().forEach(field -> System.out.println("unknown, ignored: " + field));
+        loaded.replacements().forEach(System.out::println);
+        if (loaded.replacements().isEmpty()) {
+            System.out.println("settings of " + node + " are fine");
             return 0;
         }
-        return serve(settings);
+        return ProcessEnd.say(ProcessEnd.BAD_SETTINGS, "a node would start, with defaults for the fields named above");
     }
 
     /** Listens; an address that a process of ours just ended may still hold is tried again for a moment. */
@@ -174,6 +191,32 @@
         }
     }
 
+    /** What the settings were taken as. Field by field: a record's own text is linked by classes that no archive holds. */
+    private static void logSummary(Logger log, Settings settings) {
+        log.info(
+                "{} controllers, {} teams, lease {} ms, cancellation {} ms, leadership {} ms, heap {} MiB",
+                settings.nodes(),
+                settings.teams().size(),
+                settings.workers().leaseMs(),
+                settings.workers().cancelMs(),
+                settings.leadershipMs(),
+                Runtime.getRuntime().maxMemory() / BYTES_PER_MIB);
+        logLimits(log, "state service", settings.state());
+        if (settings.state().next() != null) {
+            logLimits(log, "state service, announced", settings.state().next());
+        }
+    }
+
+    private static void logLimits(Logger log, String whose, Settings.State limits) {
+        log.info(
+                "{}: {} requests/s, {} changes/s, values of {} bytes, {} changes a transaction",
+                whose,
+                limits.requestsPerS(),
+                limits.writesPerS(),
+                limits.valueBytes(),
+                limits.txnOps());
+    }
+
     /** Has a node serve on the worker's I/O thread. */
     static void start(Settings settings, XnioWorker worker) {
         Logger log = LoggerFactory.getLogger(Main.class);
@@ -192,15 +235,7 @@
                 settings.node(),
                 settings.serveOn(),
                 settings.internalAddress());
-        log.info(
-                "{} controllers, {} teams, workers' lease {} ms, cancellations {} ms, leadership {} ms, state {}, heap {} MiB",
-                settings.nodes(),
-                settings.teams().size(),
-                settings.workers().leaseMs(),
-                settings.workers().cancelMs(),
-                settings.leadershipMs(),
-                settings.state(),
-                Runtime.getRuntime().maxMemory() >> 20);
+        logSummary(log, settings);
         settings.shortages().forEach(s -> log.error("too little to serve in full: {}", s));
         // After a crash of all controllers a thousand workers come at once, to a process that is cold: they would keep
         // it
--- a/src/main/java/org/spoolline/cli/Rehearsal.java
+++ b/src/main/java/org/spoolline/cli/Rehearsal.java
@@ -46,8 +46,8 @@
         node = "127.0.0.1:" + freePort();
         String inner = "127.0.0.1:" + freePort();
         String outside = "127.0.0.1:" + freePort();
-        Settings settings = SettingsFile.read(settingsFile(
-                """
+        Settings settings = SettingsFile.load(settingsFile(
+                        """
                 node_name = "rehearsal"
                 domain = "a"
                 serve_on = "%s"
@@ -90,7 +90,8 @@
                 ram_mb = 200.0
                 sockets = 100
                 """
-                        .formatted(node, inner, inner, outside, outside)));
+                                .formatted(node, inner, inner, outside, outside)))
+                .settings();
         XnioWorker worker = Main.worker();
         XnioIoThread thread = worker.getIoThread();
         DefaultByteBufferPool buffers = Main.buffers();
--- a/src/main/java/org/spoolline/settings/Constants.java
+++ b/src/main/java/org/spoolline/settings/Constants.java
@@ -278,4 +278,25 @@
     public static final int CONDITIONS_PER_OP = 4;
     /** Seconds of retry advice when the service can't take a request now: budgets refill within one. */
     public static final int RETRY_AFTER_S = 1;
+
+    /** Requests a second to the state service where the settings name none: few, since more might be refused. */
+    public static final double DEFAULT_STATE_RPS = 20;
+    /** Changes a second where the settings name none. */
+    public static final double DEFAULT_STATE_WRITE_RPS = 8;
+    /** Bytes of a stored value where the settings name none: holds any job, and a few hundred scattered tasks. */
+    public static final int DEFAULT_VALUE_BYTES = 2 * 1024;
+    /** Changes of a transaction where the settings name none: those of an election and of a job's end. */
+    public static final int DEFAULT_TXN_OPS = 2;
+    /** Heartbeats within a worker's lease where the settings name no interval: the longest that a lease survives. */
+    public static final int DEFAULT_HEARTBEATS_PER_LEASE = 3;
+    /** Ms that a gang's tasks are taken to wait for one another where the settings don't say: short, so few are mended. */
+    public static final long DEFAULT_GANG_WAIT_MS = 10_000;
+    /** Ms in which a gang's tasks notice a lost one where the settings don't say; nothing depends on it here. */
+    public static final long DEFAULT_GANG_PEER_MS = 1_000;
+    /** Requests a second to the cloud where the settings name none. */
+    public static final double DEFAULT_CLOUD_RPS = 1;
+    /** Ms by which the machine list lags where the settings don't say: long, since a lag taken too short loses machines. */
+    public static final long DEFAULT_CLOUD_LIST_LAG_MS = 30_000;
+    /** Share of a core where the settings name none: as for the smallest, leadership lasts longest. */
+    public static final double DEFAULT_CPU_SHARE = 0;
 }
--- a/src/main/java/org/spoolline/settings/SettingsFile.java
+++ b/src/main/java/org/spoolline/settings/SettingsFile.java
@@ -11,175 +11,197 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.spoolline.codec.TreeCodec;
 
-/** Reads and checks the platform's TOML file; unknown fields are ignored. */
+/**
+ * Reads and checks the platform's TOML file. Only what a node can't serve or keep a rule without is refused: its name and
+ * addresses, its peers, the services, the workers' lease, the cancellation bound and the teams' limits. Of any other field
+ * a missing or odd value is replaced by a default that allows no more than the settings may have, and told; unknown
+ * fields are ignored.
+ */
 public final class SettingsFile {
-    private final JsonNode root;
+    private static final Set<String> ROOT_FIELDS =
+            Set.of("node_name", "domain", "serve_on", "internal_addr", "seeds", "services", "cluster");
+    private static final Set<String> CLUSTER_FIELDS =
+            Set.of("count", "zones", "time_bound_ms", "teams", "objectives", "workers", "state", "cloud", "quota");
+    private static final String NEXT = "next";
+    private static final double BYTES_PER_KB = 1024;
+    private static final Settings.State LEAST_LIMITS = new Settings.State(
+            Constants.DEFAULT_STATE_RPS,
+            Constants.DEFAULT_STATE_WRITE_RPS,
+            Constants.DEFAULT_VALUE_BYTES,
+            Constants.DEFAULT_TXN_OPS,
+            null);
+    private static final Set<String> OBJECTIVE_FIELDS = Set.of("kind", "class", "within_s", "share", "times");
 
-    private SettingsFile(JsonNode root) {
-        this.root = root;
+    private final SettingsFindings findings = new SettingsFindings();
+    private final SettingsTable root;
+
+    /**
+     * Settings as they are used, and what was found on the way.
+     *
+     * @param replacements  a line for each field whose value could not be used, with the default taken instead
+     * @param unknownFields fields that this version does not know
+     */
+    public record Loaded(Settings settings, List<String> replacements, List<String> unknownFields) {}
+
+    private SettingsFile(JsonNode file) {
+        root = SettingsTable.root(file, findings);
     }
 
-    public static Settings read(Path file) throws SettingsException {
-        String text;
+    /** Reads a file; the exception's message names all fields that are refused, on one line. */
+    public static Loaded load(Path file) throws SettingsException {
         try {
-            text = Files.readString(file);
+            return loadText(Files.readString(file));
         } catch (NoSuchFileException e) {
             throw new SettingsException("settings file " + file + " does not exist");
         } catch (IOException e) {
             throw new SettingsException("settings file " + file + " can't be read: " + e.getMessage());
         }
-        return parse(text);
     }
 
-    public static Settings parse(String toml) throws SettingsException {
-        JsonNode root;
+    /** The same for a file's content. */
+    public static Loaded loadText(String toml) throws SettingsException {
+        JsonNode file;
         try {
-            root = new TreeCodec(new TomlFactory()).read(toml);
+            file = new TreeCodec(new TomlFactory()).read(toml);
         } catch (JsonProcessingException e) {
             throw new SettingsException("settings are not valid TOML: " + e.getOriginalMessage());
         } catch (IOException e) {
             throw new SettingsException("settings are not valid TOML: " + e.getMessage());
         }
-        return new SettingsFile(root).settings();
+        return new SettingsFile(file).load();
     }
 
-    private Settings settings() throws SettingsException {
-        List<Settings.Peer> peers = new ArrayList<>();
-        for (JsonNode seed : root.path("seeds")) {
-            peers.add(new Settings.Peer(text(seed, "seeds.", "node_name"), address(seed, "seeds.", "endpoint")));
-        }
-        JsonNode cluster = object(root, "", "cluster");
-        Map<String, Settings.Team> teams = new LinkedHashMap<>();
-        for (JsonNode t : cluster.path("teams")) {
-            Settings.Team team = new Settings.Team(
-                    text(t, "cluster.teams.", "name"),
-                    number(t, "cluster.teams.", "cpus"),
-                    number(t, "cluster.teams.", "cpus_max"),
-                    number(t, "cluster.teams.", "gpus"),
-                    number(t, "cluster.teams.", "gpus_max"));
-            teams.put(team.name(), team);
-        }
-        List<Settings.Objective> objectives = new ArrayList<>();
-        for (JsonNode o : cluster.path("objectives")) {
-            objectives.add(new Settings.Objective(
-                    text(o, "cluster.objectives.", "kind"),
-                    o.path("class").asText(null),
-                    optionalNumber(o, "cluster.objectives.", "within_s"),
-                    optionalNumber(o, "cluster.objectives.", "share")));
-        }
-        JsonNode w = object(cluster, "cluster.", "workers");
-        JsonNode s = object(cluster, "cluster.", "state");
-        JsonNode c = object(cluster, "cluster.", "cloud");
-        JsonNode q = object(cluster, "cluster.", "quota");
-        JsonNode services = object(root, "", "services");
-        String at = "cluster.workers.";
+    /** The settings alone. */
+    public static Settings parse(String toml) throws SettingsException {
+        return loadText(toml).settings();
+    }
+
+    private Loaded load() throws SettingsException {
+        root.knows(ROOT_FIELDS);
+        SettingsTable cluster = root.table("cluster").knows(CLUSTER_FIELDS);
+        SettingsTable services = root.table("services").knows(Set.of("cloud", "state"));
+        List<Settings.Peer> peers = peers();
         Settings settings = new Settings(
-                text(root, "", "node_name"),
-                text(root, "", "domain"),
-                address(root, "", "serve_on"),
-                address(root, "", "internal_addr"),
-                List.copyOf(peers),
-                address(services, "services.", "cloud"),
-                address(services, "services.", "state"),
-                (int) number(cluster, "cluster.", "count"),
-                teams,
-                List.copyOf(objectives),
-                new Settings.Workers(
-                        millis(w, at, "report_s"),
-                        millis(w, at, "lease_s"),
-                        millis(w, at, "gang_wait_s"),
-                        millis(w, at, "gang_peer_s"),
-                        millis(w, at, "cancel_s")),
-                stateLimits(s),
-                new Settings.Cloud(positive(c, "cluster.cloud.", "rps"), millis(c, "cluster.cloud.", "list_lag_s")),
-                new Settings.Quota(
-                        number(q, "cluster.quota.", "cpu_share"), number(q, "cluster.quota.", "ram_mb"), (int)
-                                number(q, "cluster.quota.", "sockets")),
+                root.requiredText("node_name"),
+                root.text("domain", ""),
+                root.requiredAddress("serve_on"),
+                root.requiredAddress("internal_addr"),
+                peers,
+                services.requiredAddress("cloud"),
+                services.requiredAddress("state"),
+                cluster.count("count", peers.size() + 1),
+                teams(cluster),
+                objectives(cluster),
+                workers(cluster.table("workers")),
+                state(cluster.table("state")),
+                cloud(cluster.table("cloud")),
+                quota(cluster.table("quota")),
                 OperatorSettings.DEFAULTS);
+        findings.throwIfRefused();
         if (settings.leadershipMs() < Constants.LEADERSHIP_MIN_MS) {
             throw new SettingsException("cluster.workers.cancel_s is too short for lease_s: "
                     + "no time is left between them for leadership");
         }
-        return settings;
+        return new Loaded(settings, findings.replacements(), findings.unknownFields());
     }
 
-    private static Settings.State stateLimits(JsonNode s) throws SettingsException {
-        String at = "cluster.state.";
-        Settings.State now = new Settings.State(
-                positive(s, at, "rps"),
-                positive(s, at, "write_rps"),
-                (int) (positive(s, at, "value_kb") * 1024),
-                (int) positive(s, at, "txn_ops"),
-                null);
-        return new Settings.State(
-                now.requestsPerS(), now.writesPerS(), now.valueBytes(), now.txnOps(), announced(s.path("next"), now));
+    private List<Settings.Peer> peers() {
+        List<Settings.Peer> peers = new ArrayList<>();
+        for (SettingsTable seed : root.tables("seeds")) {
+            seed.knows(Set.of("node_name", "domain", "endpoint"));
+            peers.add(new Settings.Peer(seed.requiredText("node_name"), seed.requiredAddress("endpoint")));
+        }
+        return List.copyOf(peers);
     }
 
-    /** The limits announced for later; a field that is not given stays as it is. */
-    private static Settings.State announced(JsonNode next, Settings.State now) throws SettingsException {
-        if (next.isMissingNode()) {
-            return null;
-        }
-        if (!next.isObject()) {
-            throw new SettingsException("settings field cluster.state.next is not a table: " + next);
+    private static Map<String, Settings.Team> teams(SettingsTable cluster) {
+        Map<String, Settings.Team> teams = new LinkedHashMap<>();
+        for (SettingsTable table : cluster.tables("teams")) {
+            table.knows(Set.of("name", "cpus", "cpus_max", "gpus", "gpus_max"));
+            Settings.Team team = new Settings.Team(
+                    table.requiredText("name"),
+                    table.number("cpus", 0),
+                    table.requiredNumber("cpus_max"),
+                    table.number("gpus", 0),
+                    table.requiredNumber("gpus_max"));
+            teams.put(team.name(), team);
         }
-        String at = "cluster.state.next.";
-        return new Settings.State(
-                next.has("rps") ? positive(next, at, "rps") : now.requestsPerS(),
-                next.has("write_rps") ? positive(next, at, "write_rps") : now.writesPerS(),
-                next.has("value_kb") ? (int) (positive(next, at, "value_kb") * 1024) : now.valueBytes(),
-                next.has("txn_ops") ? (int) positive(next, at, "txn_ops") : now.txnOps(),
-                null);
+        return teams;
     }
 
-    private static JsonNode object(JsonNode in, String at, String name) throws SettingsException {
-        JsonNode value = in.path(name);
-        if (!value.isObject()) {
-            throw new SettingsException("settings need the table " + at + name);
+    private static List<Settings.Objective> objectives(SettingsTable cluster) {
+        List<Settings.Objective> objectives = new ArrayList<>();
+        for (SettingsTable table : cluster.tables("objectives")) {
+            table.knows(OBJECTIVE_FIELDS);
+            objectives.add(new Settings.Objective(
+                    table.text("kind", ""),
+                    table.optionalText("class"),
+                    table.optionalNumber("within_s"),
+                    table.optionalNumber("share")));
         }
-        return value;
+        return List.copyOf(objectives);
     }
 
-    private static String text(JsonNode in, String at, String name) throws SettingsException {
-        JsonNode value = in.path(name);
-        if (!value.isTextual() || value.asText().isEmpty()) {
-            throw new SettingsException("settings need the text " + at + name);
-        }
-        return value.asText();
+    private static Settings.Workers workers(SettingsTable table) {
+        table.knows(Set.of("report_s", "lease_s", "gang_wait_s", "gang_peer_s", "cancel_s"));
+        long leaseMs = table.requiredMillis("lease_s");
+        return new Settings.Workers(
+                table.millis("report_s", Math.max(1, leaseMs / Constants.DEFAULT_HEARTBEATS_PER_LEASE)),
+                leaseMs,
+                table.millis("gang_wait_s", Constants.DEFAULT_GANG_WAIT_MS),
+                table.millis("gang_peer_s", Constants.DEFAULT_GANG_PEER_MS),
+                table.requiredMillis("cancel_s"));
     }
 
-    private static String address(JsonNode in, String at, String name) throws SettingsException {
-        String value = text(in, at, name);
-        if (!value.matches("[0-9A-Za-z_.-]+:[0-9]{1,5}")
-                || Integer.parseInt(value.substring(value.indexOf(':') + 1)) > 65535) {
-            throw new SettingsException("settings field " + at + name + " is not host:port: " + value);
-        }
-        return value;
+    private static Settings.State state(SettingsTable table) {
+        table.knows(Set.of("rps", "write_rps", "value_kb", "txn_ops", "next"));
+        Settings.State now = new Settings.State(
+                table.positive("rps", LEAST_LIMITS.requestsPerS()),
+                table.positive("write_rps", LEAST_LIMITS.writesPerS()),
+                bytes(table, LEAST_LIMITS),
+                table.count("txn_ops", LEAST_LIMITS.txnOps()),
+                null);
+        return new Settings.State(
+                now.requestsPerS(), now.writesPerS(), now.valueBytes(), now.txnOps(), announced(table, now));
     }
 
-    private static double number(JsonNode in, String at, String name) throws SettingsException {
-        JsonNode value = in.path(name);
-        if (!value.isNumber() || value.asDouble() < 0) {
-            throw new SettingsException("settings need a number of 0 or more at " + at + name);
+    /** The limits announced for later: what is missing of them stays as it is, for what is odd the least holds. */
+    private static Settings.State announced(SettingsTable state, Settings.State now) {
+        if (!state.has(NEXT)) {
+            return null;
         }
-        return value.asDouble();
+        SettingsTable next = state.table(NEXT).knows(Set.of("rps", "write_rps", "value_kb", "txn_ops"));
+        Settings.State least = new Settings.State(
+                        now.requestsPerS(), now.writesPerS(), now.valueBytes(), now.txnOps(), LEAST_LIMITS)
+                .lowered();
+        Settings.State ifMissing = state.hasTable(NEXT) ? now : least;
+        return new Settings.State(
+                next.has("rps") ? next.positive("rps", least.requestsPerS()) : ifMissing.requestsPerS(),
+                next.has("write_rps") ? next.positive("write_rps", least.writesPerS()) : ifMissing.writesPerS(),
+                next.has("value_kb") ? bytes(next, least) : ifMissing.valueBytes(),
+                next.has("txn_ops") ? next.count("txn_ops", least.txnOps()) : ifMissing.txnOps(),
+                null);
     }
 
-    private static Double optionalNumber(JsonNode in, String at, String name) throws SettingsException {
-        return in.has(name) ? Double.valueOf(number(in, at, name)) : null;
+    private static int bytes(SettingsTable table, Settings.State ifOdd) {
+        return (int) (table.positive("value_kb", ifOdd.valueBytes() / BYTES_PER_KB) * BYTES_PER_KB);
     }
 
-    private static double positive(JsonNode in, String at, String name) throws SettingsException {
-        double value = number(in, at, name);
-        if (value <= 0) {
-            throw new SettingsException("settings need a number over 0 at " + at + name);
-        }
-        return value;
+    private static Settings.Cloud cloud(SettingsTable table) {
+        table.knows(Set.of("rps", "list_lag_s"));
+        return new Settings.Cloud(
+                table.positive("rps", Constants.DEFAULT_CLOUD_RPS),
+                table.millis("list_lag_s", Constants.DEFAULT_CLOUD_LIST_LAG_MS));
     }
 
-    private static long millis(JsonNode in, String at, String name) throws SettingsException {
-        return Math.round(positive(in, at, name) * 1000);
+    private static Settings.Quota quota(SettingsTable table) {
+        table.knows(Set.of("cpu_share", "ram_mb", "sockets"));
+        return new Settings.Quota(
+                table.number("cpu_share", Constants.DEFAULT_CPU_SHARE),
+                table.number("ram_mb", Constants.FULL_MB),
+                table.count("sockets", Constants.SOCKETS_NEEDED));
     }
 }
--- /dev/null
+++ b/src/main/java/org/spoolline/settings/SettingsTable.java
@@ -0,0 +1,181 @@
+package org.spoolline.settings;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.MissingNode;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Set;
+import java.util.regex.Pattern;
+
+/**
+ * One table of the settings file. A required field that is missing or odd is a refusal; for any other the given default
+ * is taken. Both are noted in the findings, and reading goes on, so that all of them are told at once.
+ */
+final class SettingsTable {
+    private static final Pattern ADDRESS = Pattern.compile("[0-9A-Za-z_.-]+:[0-9]{1,5}");
+    private static final int HIGHEST_PORT = 65_535;
+    private static final int MILLIS_PER_S = 1_000;
+    private static final int LONGEST_QUOTE = 60;
+
+    private final JsonNode table;
+    private final String path;
+    private final SettingsFindings findings;
+
+    private SettingsTable(JsonNode table, String path, SettingsFindings findings) {
+        this.table = table;
+        this.path = path;
+        this.findings = findings;
+    }
+
+    /** The file as a whole. */
+    static SettingsTable root(JsonNode file, SettingsFindings findings) {
+        return new SettingsTable(file, "", findings);
+    }
+
+    /** A table within this one; when it is missing or no table, all of its fields are missing. */
+    SettingsTable table(String name) {
+        JsonNode inner = table.path(name);
+        if (!inner.isMissingNode() && !inner.isObject()) {
+            findings.replace(path + name, quote(inner), "an empty table");
+        }
+        return new SettingsTable(inner.isObject() ? inner : MissingNode.getInstance(), path + name + ".", findings);
+    }
+
+    /** The tables of an array; what is no table among them counts as an empty one. */
+    List<SettingsTable> tables(String name) {
+        List<SettingsTable> all = new ArrayList<>();
+        for (JsonNode element : table.path(name)) {
+            all.add(new SettingsTable(element, path + name + ".", findings));
+        }
+        return all;
+    }
+
+    /** Notes each field that is not among the known ones. */
+    SettingsTable knows(Set<String> known) {
+        for (Iterator<String> names = table.fieldNames(); names.hasNext(); ) {
+            String name = names.next();
+            if (!known.contains(name)) {
+                findings.unknown(path + name);
+            }
+        }
+        return this;
+    }
+
+    /** True when the field is there, whatever it holds. */
+    boolean has(String name) {
+        return table.has(name);
+    }
+
+    /** True when the field is there and is a table. */
+    boolean hasTable(String name) {
+        return table.path(name).isObject();
+    }
+
+    String requiredText(String name) {
+        JsonNode value = table.path(name);
+        if (isText(value)) {
+            return value.asText();
+        }
+        findings.refuse("settings need the text " + path + name + ", which is " + quote(value));
+        return "";
+    }
+
+    String requiredAddress(String name) {
+        String value = requiredText(name);
+        boolean fine = ADDRESS.matcher(value).matches()
+                && Integer.parseInt(value.substring(value.indexOf(':') + 1)) <= HIGHEST_PORT;
+        if (!value.isEmpty() && !fine) {
+            findings.refuse("settings field " + path + name + " is not host:port: " + value);
+        }
+        return value;
+    }
+
+    double requiredNumber(String name) {
+        JsonNode value = table.path(name);
+        if (isAmount(value)) {
+            return value.asDouble();
+        }
+        findings.refuse("settings need a number of 0 or more at " + path + name + ", which is " + quote(value));
+        return 0;
+    }
+
+    long requiredMillis(String name) {
+        double seconds = requiredNumber(name);
+        long millis = Math.round(seconds * MILLIS_PER_S);
+        if (isAmount(table.path(name)) && millis <= 0) {
+            findings.refuse("settings need a number over 0 at " + path + name + ", which is " + seconds);
+        }
+        return millis;
+    }
+
+    /** A text, or the default. */
+    String text(String name, String ifOdd) {
+        JsonNode value = table.path(name);
+        return isText(value) ? value.asText() : replaced(name, value, ifOdd);
+    }
+
+    /** A text that may be left out. */
+    String optionalText(String name) {
+        return isAbsent(table.path(name)) ? null : text(name, null);
+    }
+
+    /** A number of 0 or more, or the default. */
+    double number(String name, double ifOdd) {
+        JsonNode value = table.path(name);
+        return isAmount(value) ? value.asDouble() : replaced(name, value, ifOdd);
+    }
+
+    /** A number of 0 or more that may be left out. */
+    Double optionalNumber(String name) {
+        JsonNode value = table.path(name);
+        if (isAbsent(value) || isAmount(value)) {
+            return isAbsent(value) ? null : Double.valueOf(value.asDouble());
+        }
+        return replaced(name, value, null);
+    }
+
+    /** A number over 0, or the default. */
+    double positive(String name, double ifOdd) {
+        JsonNode value = table.path(name);
+        return isAmount(value) && value.asDouble() > 0 ? value.asDouble() : replaced(name, value, ifOdd);
+    }
+
+    /** A whole number of 1 or more, a fraction cut off, or the default. */
+    int count(String name, int ifOdd) {
+        JsonNode value = table.path(name);
+        return isAmount(value) && value.asDouble() >= 1 ? (int) value.asDouble() : replaced(name, value, ifOdd);
+    }
+
+    /** Seconds as milliseconds, or the default. */
+    long millis(String name, long ifOdd) {
+        JsonNode value = table.path(name);
+        long millis = isAmount(value) ? Math.round(value.asDouble() * MILLIS_PER_S) : 0;
+        return millis > 0 ? millis : replaced(name, value, ifOdd);
+    }
+
+    private <T> T replaced(String name, JsonNode found, T used) {
+        findings.replace(path + name, quote(found), used);
+        return used;
+    }
+
+    private static boolean isAbsent(JsonNode value) {
+        return value.isMissingNode() || value.isNull();
+    }
+
+    private static boolean isText(JsonNode value) {
+        return value.isTextual() && !value.asText().isEmpty();
+    }
+
+    private static boolean isAmount(JsonNode value) {
+        return value.isNumber() && value.asDouble() >= 0 && !Double.isInfinite(value.asDouble());
+    }
+
+    private static String quote(JsonNode value) {
+        if (isAbsent(value)) {
+            return "missing";
+        }
+        String text = value.toString();
+        return text.length() <= LONGEST_QUOTE ? text : text.substring(0, LONGEST_QUOTE) + "…";
+    }
+}
