--- a/src/test/java/org/spoolline/world/FakeCloud.java
+++ b/src/test/java/org/spoolline/world/FakeCloud.java
@@ -26,6 +26,8 @@
     private boolean out;
     /** Machines of one type, zone and kind at most. */
     public int capacity = 6;
+    /** Malformed entries that the list of machine types holds beside the proper ones. */
+    public List<JsonNode> oddTypes = List.of();
 
     public double bootS = 10;
     /** Machines that never come up: the next so many. */
@@ -65,6 +67,7 @@
             ArrayNode types = body.putArray("builds");
             types.add(type("small", 8, 0.5, 0.2));
             types.add(type("big", 16, 1.1, 0.45));
+            oddTypes.forEach(types::add);
             reply.accept(Http.Response.of(200, Json.bytes(body)));
         } else if (path.equals("/rentals")) {
             rent(Json.read(request.body()), reply);
--- a/src/test/java/org/spoolline/world/FakeWorker.java
+++ b/src/test/java/org/spoolline/world/FakeWorker.java
@@ -331,6 +331,10 @@
         int slash = slip.indexOf('/');
         Task task = new Task(slip.substring(0, slash), Integer.parseInt(slip.substring(slash + 1)), attempt);
         tasks.put(id, task);
+        if (!world.users.hasSubmitted(task.uid)) {
+            task.exit("unknown");
+            return;
+        }
         double used = 0;
         for (Task t : tasks.values()) {
             if (t != task && t.alive()) {
--- a/src/test/java/org/spoolline/world/Users.java
+++ b/src/test/java/org/spoolline/world/Users.java
@@ -188,6 +188,11 @@
         return jobs.values();
     }
 
+    /** True for a job whose description workers can fetch. */
+    boolean hasSubmitted(String uid) {
+        return jobs.containsKey(uid);
+    }
+
     double cores(String uid) {
         return jobs.get(uid).cores();
     }
