A stored value that names another job than its key is refused as unreadable

Cause: the plan looks jobs up by the name in the value, and a value filed under another key stood for a job that is not in the table; each plan of each leader failed at it, so nothing was rented or started while ends of tasks went on being written. It is left alone now like any value that can't be read. The leader that starts nothing now also says PLANS_FAIL. No writer of ours stores such a value: it is not what the operators saw.

--- a/src/main/java/org/spoolline/diagnostics/Event.java
+++ b/src/main/java/org/spoolline/diagnostics/Event.java
@@ -38,6 +38,8 @@
     CYCLE_WITHHELD_LEADERSHIP_LAPSED,
     /** A scheduling cycle failed. */
     CYCLE_FAILED,
+    /** No plan could be made; ends of tasks were written all the same. */
+    PLAN_FAILED,
     /** A task was placed; its launch follows once that is stored. */
     TASK_PLACED,
 
--- a/src/main/java/org/spoolline/diagnostics/StallMonitor.java
+++ b/src/main/java/org/spoolline/diagnostics/StallMonitor.java
@@ -21,6 +21,8 @@
         LEADERSHIP_LAPSED,
         /** Scheduling cycles fail. */
         CYCLES_FAIL,
+        /** Cycles run, but no plan can be made. */
+        PLANS_FAIL,
         /** No machine reports. */
         NO_MACHINE_REPORTS,
         /** The state service does not answer, or the budget for changes is spent. */
--- a/src/main/java/org/spoolline/placement/JobTable.java
+++ b/src/main/java/org/spoolline/placement/JobTable.java
@@ -1,5 +1,6 @@
 package org.spoolline.placement;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -99,7 +100,7 @@
         } else if (entry != null || change.version() > removed.getOrDefault(uid, 0L)) {
             // A change older than the job's removal must not bring it back: its attempts would be launched again.
             try {
-                confirm(uid, Pipeline.decode(change.value()), change.version());
+                confirm(uid, decode(uid, change.value()), change.version());
             } catch (RuntimeException e) {
                 // One value that can't be read, perhaps of a later version, must not stop all the others.
                 LOG.error("the stored value of {} can't be read", uid, e);
@@ -107,6 +108,15 @@
         }
     }
 
+    /** A value that names another job than its key would stand for a job that is not in this table. */
+    private static Pipeline decode(String uid, JsonNode value) {
+        Pipeline decoded = Pipeline.decode(value);
+        if (!decoded.uid().equals(uid)) {
+            throw new IllegalArgumentException("the value is that of " + decoded.uid());
+        }
+        return decoded;
+    }
+
     /** Someone has confirmed to a user that the job is cancelled; the stored value may be read later, or never here. */
     public void cancelled(String uid) {
         Entry entry = entries.get(uid);
--- a/src/main/java/org/spoolline/placement/SchedulingCycles.java
+++ b/src/main/java/org/spoolline/placement/SchedulingCycles.java
@@ -69,6 +69,8 @@
     private int lastBatch;
     private boolean lastCycleFailed;
 
+    private boolean lastPlanFailed;
+
     private long lastCycleAt;
     /** Gang tasks whose machine has the image, while others of the gang have to fetch it. */
     private final Map<String, Set<Machine.Start>> afterMates = new HashMap<>();
@@ -155,6 +157,7 @@
         sweptAt = loop.now();
         vacatedAt = loop.now();
         lastCycleFailed = false;
+        lastPlanFailed = false;
         stalls.begin();
         watch.begin(token);
         tick(token);
@@ -177,7 +180,8 @@
         if (loop.now() - lastCycleAt >= Constants.CYCLE_IDLE_MS) {
             requestCycle();
         }
-        stalls.check(() -> inspector.inspect(machines.usable(loop.now(), settings.quietMs()), lastCycleFailed));
+        stalls.check(() ->
+                inspector.inspect(machines.usable(loop.now(), settings.quietMs()), lastCycleFailed, lastPlanFailed));
         loop.after(Constants.CYCLE_IDLE_MS, () -> tick(mine));
     }
 
@@ -356,8 +360,12 @@
     /** What has ended is written and told even when no plan can be made. */
     private Placer.Plan planned(Map<String, Pipeline> working) {
         try {
-            return Placer.plan(snapshot(working));
+            Placer.Plan plan = Placer.plan(snapshot(working));
+            lastPlanFailed = false;
+            return plan;
         } catch (RuntimeException e) {
+            lastPlanFailed = true;
+            counters.count(Event.PLAN_FAILED);
             LOG.error("no plan can be made", e);
             return new Placer.Plan(Map.of(), List.of(), List.of(), Set.of(), Set.of());
         }
--- a/src/main/java/org/spoolline/placement/StallInspector.java
+++ b/src/main/java/org/spoolline/placement/StallInspector.java
@@ -24,8 +24,8 @@
         this.writes = writes;
     }
 
-    /** What is seen now; {@code lastCycleFailed} when the last scheduling cycle did not reach its end. */
-    StallMonitor.Situation inspect(List<Machine> usable, boolean lastCycleFailed) {
+    /** What is seen now, given whether the last scheduling cycle and the last plan came to nothing. */
+    StallMonitor.Situation inspect(List<Machine> usable, boolean lastCycleFailed, boolean lastPlanFailed) {
         int waitsForOthers = 0;
         int ready = 0;
         for (JobTable.Entry entry : jobs.entries()) {
@@ -40,11 +40,12 @@
             }
         }
         double free = usable.stream().mapToDouble(this::freeCores).sum();
-        StallMonitor.Reason reason = reason(ready, usable.isEmpty(), lastCycleFailed);
+        StallMonitor.Reason reason = reason(ready, usable.isEmpty(), lastCycleFailed, lastPlanFailed);
         return new StallMonitor.Situation(reason, waitsForOthers + ready, usable.size(), free);
     }
 
-    private StallMonitor.Reason reason(int readyJobs, boolean noMachine, boolean lastCycleFailed) {
+    private StallMonitor.Reason reason(
+            int readyJobs, boolean noMachine, boolean lastCycleFailed, boolean lastPlanFailed) {
         if (!leadership.valid()) {
             return StallMonitor.Reason.LEADERSHIP_LAPSED;
         }
@@ -54,6 +55,9 @@
         if (lastCycleFailed) {
             return StallMonitor.Reason.CYCLES_FAIL;
         }
+        if (lastPlanFailed) {
+            return StallMonitor.Reason.PLANS_FAIL;
+        }
         if (readyJobs == 0) {
             return StallMonitor.Reason.PREREQUISITES;
         }
