Standard names for evacuations, machine look-ups, renewals and gang launches; one class less to do

Renamed: vacate (evacuate), meet (findOrAdd), tend (renewIfDue), looksAround (shouldTryOthers), afterMates (launchedAfterPeers), forRounds (reservedForCycles), oriented (leaderKnown). The order in which a gang's tasks are launched is a class of its own. No change of behaviour.

--- a/src/main/java/org/spoolline/Controller.java
+++ b/src/main/java/org/spoolline/Controller.java
@@ -45,7 +45,7 @@
     private final SchedulingCycles cycles;
     private final Fleet fleet;
     private final Peers peers;
-    private Runnable oriented = () -> {};
+    private Runnable leaderKnown = () -> {};
 
     public Controller(Settings settings, Loop loop, Http.Caller http, RandomGenerator random) {
         this.settings = settings;
@@ -100,9 +100,9 @@
         peers.tellLeader(uid);
     }
 
-    /** Starts; {@code onOriented} runs whenever this node has come to know who leads, itself or another. */
-    public void start(Runnable onOriented) {
-        oriented = onOriented;
+    /** Starts; {@code onLeaderKnown} runs whenever this node has come to know who leads, itself or another. */
+    public void start(Runnable onLeaderKnown) {
+        leaderKnown = onLeaderKnown;
         start();
     }
 
@@ -117,7 +117,7 @@
 
     /** Serves users, workers and health checks. */
     public void serve(Http.Request request, Consumer<Http.Response> answer) {
-        leadership.tend();
+        leadership.renewIfDue();
         String path = request.path();
         if (path.equals("/checkin")) {
             heartbeats.handle(request, answer);
@@ -189,12 +189,12 @@
         heartbeats.ready(false);
         fleet.elected(token);
         cycles.elected(token);
-        oriented.run();
+        leaderKnown.run();
     }
 
     @Override
     public void follows(String leader) {
-        oriented.run();
+        leaderKnown.run();
     }
 
     @Override
--- a/src/main/java/org/spoolline/cli/Main.java
+++ b/src/main/java/org/spoolline/cli/Main.java
@@ -250,7 +250,7 @@
         loop.after(0, () -> {
             controller.start(openToAll);
             listen(loop, server, settings.internalAddress(), controller::servePeer, Constants.BIND_TRIES);
-            loop.after(Constants.ORIENT_MS, openToAll);
+            loop.after(Constants.LEADER_KNOWN_WITHIN_MS, openToAll);
         });
     }
 }
--- a/src/main/java/org/spoolline/fleet/Fleet.java
+++ b/src/main/java/org/spoolline/fleet/Fleet.java
@@ -139,7 +139,7 @@
         long now = loop.now();
         String name = m.path("uid").asText();
         boolean fresh = machines.get(name) == null;
-        Machine machine = machines.meet(
+        Machine machine = machines.findOrAdd(
                 name,
                 m.path("build").asText(),
                 m.path("yard").asText(),
@@ -224,7 +224,7 @@
         long now = loop.now();
         if (reply.ok()) {
             JsonNode names = Json.read(reply.body()).path("spoolers");
-            names.forEach(n -> machines.meet(n.asText(), offer.type(), offer.zone(), offer.spot(), now));
+            names.forEach(n -> machines.findOrAdd(n.asText(), offer.type(), offer.zone(), offer.spot(), now));
             asked.remove(offer);
             LOG.info(
                     "rented {} of {} {} in {}{} as {}",
--- a/src/main/java/org/spoolline/leadership/Leadership.java
+++ b/src/main/java/org/spoolline/leadership/Leadership.java
@@ -282,7 +282,7 @@
         renewDueAt = loop.now() + delayMs;
         loop.after(delayMs, () -> {
             if (token == mine) {
-                tend();
+                renewIfDue();
             }
         });
     }
@@ -291,7 +291,7 @@
      * Renews if it is time. Called before each request too: a cold process whose loop is busy with hundreds of workers
      * comes to its timers so late that its leadership ended unrenewed, and another cold process took it over, by turns.
      */
-    public void tend() {
+    public void renewIfDue() {
         if (leading && !renewing && loop.now() >= renewDueAt) {
             renew(token);
         }
--- a/src/main/java/org/spoolline/placement/ClusterSnapshot.java
+++ b/src/main/java/org/spoolline/placement/ClusterSnapshot.java
@@ -22,7 +22,7 @@
  * @param warm        ids of gangs for which machines with their image have been cleared, once each
  * @param inherited   the highest priority among the waiting jobs that need a job, for those that are needed
  * @param usable      machines that take work now
- * @param mayVacate   true when machines emptied in favour of others have had the time to be
+ * @param mayEvacuate   true when machines emptied in favour of others have had the time to be
  */
 public record ClusterSnapshot(
         List<Pipeline> jobs,
@@ -35,7 +35,7 @@
         Map<String, Submission.Priority> inherited,
         Map<String, MachineType> types,
         Settings settings,
-        boolean mayVacate,
+        boolean mayEvacuate,
         long timeOfDay,
         long now) {
 
--- a/src/main/java/org/spoolline/placement/Consolidation.java
+++ b/src/main/java/org/spoolline/placement/Consolidation.java
@@ -32,11 +32,11 @@
     }
 
     /** Names of the machines to empty; {@code nodes} have the room that is left beside all work. */
-    static Set<String> vacated(ClusterSnapshot snapshot, List<Node> nodes) {
-        return new Consolidation(snapshot, nodes).vacated();
+    static Set<String> evacuated(ClusterSnapshot snapshot, List<Node> nodes) {
+        return new Consolidation(snapshot, nodes).evacuated();
     }
 
-    private Set<String> vacated() {
+    private Set<String> evacuated() {
         double spare = nodes.stream().mapToDouble(Node::cores).sum()
                 - ClusterSnapshot.askedCores(snapshot.jobs(), snapshot.timeOfDay());
         if (spare <= 0) {
@@ -58,29 +58,29 @@
         fullest.removeIf(
                 n -> n.reservedFor() != null || n.cores() < Constants.EPSILON || !on.containsKey(n.machine.name()));
         fullest.sort(Comparator.comparingDouble(Node::usedShare).reversed().thenComparing(n -> n.machine.name()));
-        Set<String> vacated = new LinkedHashSet<>();
+        Set<String> evacuated = new LinkedHashSet<>();
         Set<String> receiving = new LinkedHashSet<>();
-        for (Node node : emptiest.subList(0, Math.min(emptiest.size(), Constants.VACATE_TRIES))) {
+        for (Node node : emptiest.subList(0, Math.min(emptiest.size(), Constants.EVACUATE_TRIES))) {
             if (node.type.cores() > spare || receiving.contains(node.machine.name())) {
                 continue;
             }
             Map<Node, List<Submission>> taken = new HashMap<>();
-            if (fits(node, fullest, vacated, taken)) {
-                vacated.add(node.machine.name());
+            if (fits(node, fullest, evacuated, taken)) {
+                evacuated.add(node.machine.name());
                 taken.keySet().forEach(n -> receiving.add(n.machine.name()));
                 spare -= node.type.cores();
             } else {
                 taken.forEach((n, some) -> some.forEach(n::release));
             }
         }
-        return vacated;
+        return evacuated;
     }
 
     /** At most half in use, by tasks of arrays that save, have run for a while, and are expected to go on for a while. */
     private boolean worthEmptying(Node node) {
         List<Moving> here = on.getOrDefault(node.machine.name(), List.of());
         return !here.isEmpty()
-                && node.usedShare() <= Constants.VACATE_SHARE
+                && node.usedShare() <= Constants.EVACUATE_SHARE
                 && here.stream().allMatch(this::movable);
     }
 
@@ -91,18 +91,18 @@
         return !spec.gang()
                 && spec.saves()
                 && !moving.job().cancelled()
-                && ranS >= Constants.VACATE_RAN_S
-                && spec.estimateS() - ranS >= Constants.VACATE_LEFT_S;
+                && ranS >= Constants.EVACUATE_RAN_S
+                && spec.estimateS() - ranS >= Constants.EVACUATE_LEFT_S;
     }
 
     /** Takes room for all the node's tasks on others that have work, fullest first; false when some find none. */
-    private boolean fits(Node node, List<Node> fullest, Set<String> vacated, Map<Node, List<Submission>> taken) {
+    private boolean fits(Node node, List<Node> fullest, Set<String> evacuated, Map<Node, List<Submission>> taken) {
         for (Moving moving : on.get(node.machine.name())) {
             Submission spec = moving.job().spec();
             Node found = null;
             for (Node other : fullest) {
                 if (other != node
-                        && !vacated.contains(other.machine.name())
+                        && !evacuated.contains(other.machine.name())
                         && other.openTo(moving.job())
                         && other.fits(spec)
                         && other.machine.hasImage(spec.image())
--- a/src/main/java/org/spoolline/placement/Placer.java
+++ b/src/main/java/org/spoolline/placement/Placer.java
@@ -42,7 +42,7 @@
             List<Want> wants,
             List<Clearing> clearings,
             Set<String> gathering,
-            Set<String> vacated) {}
+            Set<String> evacuated) {}
 
     private final ClusterSnapshot snapshot;
     private final List<Node> nodes = new ArrayList<>();
@@ -97,13 +97,13 @@
             }
             place(job);
         }
-        boolean surplus = wants.isEmpty() && placements.isEmpty() && snapshot.mayVacate();
+        boolean surplus = wants.isEmpty() && placements.isEmpty() && snapshot.mayEvacuate();
         return new Plan(
                 placements,
                 wants,
                 preemption.clear(wants),
                 gathering,
-                surplus ? Consolidation.vacated(snapshot, nodes) : Set.of());
+                surplus ? Consolidation.evacuated(snapshot, nodes) : Set.of());
     }
 
     /** True for a job that has waited long and of which nothing has begun. */
--- a/src/main/java/org/spoolline/placement/SchedulingCycles.java
+++ b/src/main/java/org/spoolline/placement/SchedulingCycles.java
@@ -72,8 +72,7 @@
     private boolean lastPlanFailed;
 
     private long lastCycleAt;
-    /** Gang tasks whose machine has the image, while others of the gang have to fetch it. */
-    private final Map<String, Set<Machine.Start>> afterMates = new HashMap<>();
+    private final GangLaunches gangLaunches;
 
     private final Set<String> withNews = new HashSet<>();
     /** Machines whose reports brought news since the last cycle. */
@@ -85,7 +84,7 @@
 
     private long sweptAt;
     /** When machines were last emptied in favour of others. */
-    private long vacatedAt;
+    private long evacuatedAt;
 
     private final Reservations reservations;
     /** Gangs for which machines with their image have been cleared: once each, so that none waits for long. */
@@ -124,6 +123,7 @@
         watch = new JobWatch(loop, state, freshness, jobs, () -> cycleListener.loaded(), this::requestCycle, counters);
         reservations = new Reservations(loop, jobs);
         evaluator = new AttemptEvaluator(loop, settings, catalog, machines, reservations, withNews);
+        gangLaunches = new GangLaunches(jobs, evaluator);
         writes = new Writes(loop, state, leadership, jobs, new Stored());
         inspector = new StallInspector(leadership, catalog, jobs, watch, writes);
         dependencies = new Dependencies(loop, state, jobs, this::requestCycle);
@@ -147,7 +147,7 @@
         dependencies.begin(token);
         jobs.clear();
         machines.clear();
-        afterMates.clear();
+        gangLaunches.clear();
         withNews.clear();
         reservations.clear();
         warm.clear();
@@ -155,7 +155,7 @@
         unsettled.clear();
         fullUntil.clear();
         sweptAt = loop.now();
-        vacatedAt = loop.now();
+        evacuatedAt = loop.now();
         lastCycleFailed = false;
         lastPlanFailed = false;
         stalls.begin();
@@ -205,24 +205,9 @@
         return evaluator.graceOf(start);
     }
 
-    /**
-     * A gang's task that finds its image at hand would wait for the others and give up after gang_wait_s, which a
-     * fetch can exceed; it is launched once all who fetch have their image.
-     */
     @Override
     public boolean mayLaunch(Machine.Start start) {
-        Set<Machine.Start> late = afterMates.get(start.uid());
-        JobTable.Entry entry = jobs.get(start.uid());
-        if (late == null || entry == null || !late.contains(start)) {
-            return true;
-        }
-        for (Attempt a : entry.confirmed().attempts()) {
-            Machine.Start other = Machine.Start.of(start.uid(), a);
-            if (!late.contains(other) && evaluator.phase(other, a) == TaskReport.Phase.FETCHING) {
-                return false;
-            }
-        }
-        return true;
+        return gangLaunches.mayLaunch(start);
     }
 
     private void runCycle() {
@@ -291,12 +276,12 @@
                     clearing.uid(),
                     clearing.leaving().size());
         }
-        if (!plan.vacated().isEmpty()) {
-            vacatedAt = loop.now();
+        if (!plan.evacuated().isEmpty()) {
+            evacuatedAt = loop.now();
             LOG.info(
                     "emptying {} machines, whose tasks fit others",
-                    plan.vacated().size());
-            plan.vacated().forEach(name -> machines.get(name).vacate());
+                    plan.evacuated().size());
+            plan.evacuated().forEach(name -> machines.get(name).evacuate());
         }
         plan.placements().forEach((uid, placed) -> place(uid, placed, changes));
         lastBatch = changes.size();
@@ -398,7 +383,7 @@
                 dependencies.inheritedPriorities(),
                 catalog.types(),
                 settings,
-                loop.now() - vacatedAt >= Constants.VACATE_MS,
+                loop.now() - evacuatedAt >= Constants.EVACUATE_MS,
                 loop.timeOfDay(),
                 loop.now());
     }
@@ -455,7 +440,7 @@
             fullUntil.put(uid, loop.now() + Constants.VALUE_FULL_MS);
         }
         if (spec.gang()) {
-            afterMates.put(uid, atHand);
+            gangLaunches.launchAfterPeers(uid, atHand);
         }
         if (!added.isEmpty()) {
             counters.count(Event.TASK_PLACED, added.size());
@@ -503,7 +488,7 @@
                 jobs.drop(next.uid(), revision);
                 dependencies.recorded(next.uid(), FinalRecord.of(next));
                 evaluator.forget(next.uid());
-                afterMates.remove(next.uid());
+                gangLaunches.forget(next.uid());
                 warm.remove(next.uid());
             } else {
                 jobs.applied(change.entry(), revision);
--- a/src/main/java/org/spoolline/settings/Constants.java
+++ b/src/main/java/org/spoolline/settings/Constants.java
@@ -33,7 +33,7 @@
     /** Tries to listen on an address that a process just ended may still hold. */
     public static final int BIND_TRIES = 8;
     /** Ms that a node takes at most to learn who leads before it listens: longer than an election, shorter than a lease. */
-    public static final long ORIENT_MS = 1_500;
+    public static final long LEADER_KNOWN_WITHIN_MS = 1_500;
     /** Ms by which a scheduling cycle may begin late before the loop counts as overloaded. */
     public static final long CYCLE_LATE_MS = 100;
     /** Ms between these tries. */
@@ -82,7 +82,7 @@
     /** Seconds of refill that a budget may be in debt at most. */
     public static final double DEBT_S = 2;
     /** Share of the requests a second that users' requests leave for a leader's cycles. */
-    public static final double ROUNDS_RESERVE = 0.1;
+    public static final double CYCLES_RESERVE = 0.1;
     /** Share of the changes a second that a leader's cycles leave for users' requests. */
     public static final double USERS_RESERVE = 0.1;
     /** Bytes of one transaction that we fill at most: the protocol allows 64 KiB. */
@@ -108,7 +108,7 @@
     public static final long CYCLE_IDLE_MS = 1_000;
 
     /** Times per lease that a worker is sent to look for a new leader while we can't tell an outage from a cut. */
-    public static final int LOOKS_PER_LEASE = 4;
+    public static final int TRIES_OF_OTHERS_PER_LEASE = 4;
     /** Answers in a row that a machine did not hear before it counts as deaf: one may be lost on any network. */
     public static final int UNHEARD_ANSWERS = 2;
     /** Bits of a worker's token that count nudges: a million nudges of one worker under one leader. */
@@ -214,15 +214,15 @@
      */
     public static final long ASKED_MS = 30_000;
     /** Ms between two times that machines are emptied in favour of others: their tasks have moved by then. */
-    public static final long VACATE_MS = 10_000;
+    public static final long EVACUATE_MS = 10_000;
     /** Machines tried at one time: bounds the work of a cycle. */
-    public static final int VACATE_TRIES = 50;
+    public static final int EVACUATE_TRIES = 50;
     /** Share of a machine's cores in use up to which it may be emptied. */
-    public static final double VACATE_SHARE = 0.5;
+    public static final double EVACUATE_SHARE = 0.5;
     /** Seconds that a task must have run to be moved: starts stopped sooner were in vain. */
-    public static final double VACATE_RAN_S = 30;
+    public static final double EVACUATE_RAN_S = 30;
     /** Seconds that a task must be expected to go on for to be moved: it loses some ten. */
-    public static final double VACATE_LEFT_S = 20;
+    public static final double EVACUATE_LEFT_S = 20;
     /** Ms an idle spot machine is kept: it costs a fraction, and its place may be refused later. */
     public static final long IDLE_SPOT_MS = 20_000;
     /** Ms every machine costs at least; younger ones gain nothing by an early return. */
--- a/src/main/java/org/spoolline/state/StateClient.java
+++ b/src/main/java/org/spoolline/state/StateClient.java
@@ -104,7 +104,7 @@
     private final RateBudget changes;
     private final Latencies latencies;
     /** Requests that a leader keeps from users, so that polls of jobs that don't end can't keep them from ending. */
-    private double forRounds;
+    private double reservedForCycles;
 
     private long lastReached;
     private boolean everReached;
@@ -150,7 +150,7 @@
         double share = nodes == 1
                 ? 1
                 : leads ? Constants.LEADER_BUDGET_SHARE : Math.min(Constants.FOLLOWER_BUDGET_SHARE, 1.0 / (nodes - 1));
-        forRounds = leads ? limits.requestsPerS() * Constants.ROUNDS_RESERVE : 0;
+        reservedForCycles = leads ? limits.requestsPerS() * Constants.CYCLES_RESERVE : 0;
         requests.rate(limits.requestsPerS() * share, loop.now());
         changes.rate(limits.writesPerS() * share, loop.now());
     }
@@ -171,7 +171,7 @@
     /** Takes budget for one request with so many changes; false: spent, come back later. */
     public boolean admit(int writes) {
         long now = loop.now();
-        if (requests.left(now) < 1 + forRounds || changes.left(now) < writes) {
+        if (requests.left(now) < 1 + reservedForCycles || changes.left(now) < writes) {
             return false;
         }
         requests.take(1, now);
--- a/src/main/java/org/spoolline/workers/Heartbeats.java
+++ b/src/main/java/org/spoolline/workers/Heartbeats.java
@@ -116,14 +116,14 @@
             redirect(answer);
             return;
         }
-        Machine machine = machines.meet(report.machine(), report.type(), report.zone(), report.spot(), loop.now());
+        Machine machine = machines.findOrAdd(report.machine(), report.type(), report.zone(), report.spot(), loop.now());
         if (machine.gone()) {
             // Its attempts may have been started elsewhere: renewing its lease could bring a task to life twice.
             counters.count(Event.HEARTBEAT_OF_GONE_MACHINE);
             answer.accept(new Http.Response(503, Json.error("machine is gone"), 0));
             return;
         }
-        if (!leadership.valid() && machine.looksAround(loop.now(), leaseMs / Constants.LOOKS_PER_LEASE)) {
+        if (!leadership.valid() && machine.shouldTryOthers(loop.now(), leaseMs / Constants.TRIES_OF_OTHERS_PER_LEASE)) {
             // Without the state service nobody here can tell an outage from a cut. A worker that asks the others and
             // comes back has found no new leader; one that stays away has, and need not wait for our time to end.
             counters.count(Event.HEARTBEAT_SENT_TO_OTHERS);
--- a/src/main/java/org/spoolline/workers/Machine.java
+++ b/src/main/java/org/spoolline/workers/Machine.java
@@ -174,7 +174,7 @@
      * True when a worker should ask the other controllers before it is answered here: once a period, so that it
      * neither misses a new leader nor loses its lease.
      */
-    boolean looksAround(long now, long periodMs) {
+    boolean shouldTryOthers(long now, long periodMs) {
         if (now - lookedAroundAt <= periodMs) {
             return false;
         }
@@ -201,7 +201,7 @@
     }
 
     /** Its work is to move to other machines, and it is to be returned. */
-    public void vacate() {
+    public void evacuate() {
         draining = true;
         vacating = true;
     }
--- a/src/main/java/org/spoolline/workers/MachineTable.java
+++ b/src/main/java/org/spoolline/workers/MachineTable.java
@@ -22,7 +22,7 @@
         return machines;
     }
 
-    public Machine meet(String name, String type, String zone, boolean spot, long knownSince) {
+    public Machine findOrAdd(String name, String type, String zone, boolean spot, long knownSince) {
         return machines.computeIfAbsent(name, n -> new Machine(n, type, zone, spot, knownSince));
     }
 
--- a/src/test/java/org/spoolline/leadership/LeadershipTest.java
+++ b/src/test/java/org/spoolline/leadership/LeadershipTest.java
@@ -85,8 +85,8 @@
         loop.runTo(1_500);
         assertTrue(leadership.valid());
         loop.standStill(SETTINGS.renewMs() * 2);
-        leadership.tend();
-        leadership.tend();
+        leadership.renewIfDue();
+        leadership.renewIfDue();
         assertEquals(1, renewals(), "one renewal, not one a request");
         // The timer of before is late by now, and finds nothing to do.
         loop.runTo(loop.now());
@@ -102,7 +102,7 @@
         loop.runTo(1_500);
         silent = true;
         loop.runTo(loop.now() + SETTINGS.leadershipMs() + SETTINGS.renewMs());
-        leadership.tend();
+        leadership.renewIfDue();
         assertFalse(leadership.valid());
         assertTrue(leadership.mayKeepAlive());
         loop.runTo(loop.now() + SETTINGS.keepAliveMs());
--- a/src/test/java/org/spoolline/placement/ConsolidationTest.java
+++ b/src/test/java/org/spoolline/placement/ConsolidationTest.java
@@ -22,8 +22,8 @@
                 .useImage("img", 1, 20);
     }
 
-    private Set<String> vacated(boolean mayVacate) {
-        return fixture.plan(Set.of(), mayVacate).vacated();
+    private Set<String> evacuated(boolean mayEvacuate) {
+        return fixture.plan(Set.of(), mayEvacuate).evacuated();
     }
 
     @Test
@@ -31,15 +31,15 @@
         machineWith("full", 12, 0);
         machineWith("sparse", 4, 15);
         machineWith("sparse-too", 4, 15);
-        assertEquals(Set.of("sparse"), vacated(true));
-        assertEquals(Set.of(), vacated(false));
+        assertEquals(Set.of("sparse"), evacuated(true));
+        assertEquals(Set.of(), evacuated(false));
     }
 
     @Test
     void workThatWouldStartOverStays() throws Exception {
         machineWith("full", 12, 0);
         machineWith("sparse", 4, 0);
-        assertEquals(Set.of(), vacated(true));
+        assertEquals(Set.of(), evacuated(true));
     }
 
     /** Or the next job would have to wait for a boot. */
@@ -50,6 +50,6 @@
         Pipeline over = job("run-000009", 4, 4, 0, World.START_OF_DAY + 50_000);
         over.cancel();
         fixture.jobs.add(over);
-        assertEquals(Set.of(), vacated(true));
+        assertEquals(Set.of(), evacuated(true));
     }
 }
--- a/src/test/java/org/spoolline/placement/Fixture.java
+++ b/src/test/java/org/spoolline/placement/Fixture.java
@@ -94,7 +94,7 @@
     final Map<String, Submission.Priority> inherited = new HashMap<>();
 
     /** The plan a minute after the start of the day. */
-    Placer.Plan plan(Set<String> placeable, boolean mayVacate) {
+    Placer.Plan plan(Set<String> placeable, boolean mayEvacuate) {
         return Placer.plan(new ClusterSnapshot(
                 jobs,
                 Map.of(),
@@ -106,7 +106,7 @@
                 inherited,
                 Map.of(type.name(), type),
                 settings,
-                mayVacate,
+                mayEvacuate,
                 World.START_OF_DAY + 60_000,
                 NOW));
     }
