--- /dev/null
+++ b/src/test/java/org/spoolline/cli/MainTest.java
@@ -0,0 +1,88 @@
+package org.spoolline.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The program as the platform starts it, in a process of its own. */
+class MainTest {
+    private static final String SETTINGS =
+            """
+            node_name = "n0"
+            domain = "a"
+            serve_on = "127.0.0.1:1"
+            internal_addr = "127.0.0.1:2"
+            [services]
+            cloud = "127.0.0.1:3"
+            state = "127.0.0.1:4"
+            [cluster]
+            count = 1
+            [cluster.workers]
+            report_s = 3.0
+            lease_s = 18.0
+            gang_wait_s = 30.0
+            gang_peer_s = 5.0
+            cancel_s = 48.0
+            [cluster.state]
+            rps = 100.0
+            write_rps = 40.0
+            value_kb = 8.0
+            txn_ops = 12
+            [cluster.cloud]
+            rps = 10.0
+            list_lag_s = 6.0
+            [cluster.quota]
+            cpu_share = 0.34
+            ram_mb = 320.0
+            sockets = 2500
+            """;
+
+    private record Ended(int exitCode, String output) {}
+
+    private static Ended check(Path directory, String logLevel, String settings)
+            throws IOException, InterruptedException {
+        Path file = Files.writeString(directory.resolve("node.toml"), settings);
+        String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
+        String classPath = System.getProperty("java.class.path");
+        ProcessBuilder builder = new ProcessBuilder(
+                List.of(java, "-cp", classPath, Main.class.getName(), "--check", "--config", file.toString()));
+        builder.environment().put("LOG_LEVEL", logLevel);
+        Process process = builder.redirectErrorStream(true).start();
+        String output = new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        return new Ended(process.waitFor(), output);
+    }
+
+    /** A level that this version does not know must not keep a node from starting. */
+    @Test
+    void anUnknownLogLevelKeepsNoNodeFromStarting(@TempDir Path directory) throws Exception {
+        Ended ended = check(directory, "warn", SETTINGS);
+        assertEquals(0, ended.exitCode(), ended.output());
+        assertTrue(ended.output().contains("LOG_LEVEL"), ended.output());
+    }
+
+    /** Without a last line, a process that refuses its settings looks like one that was killed. */
+    @Test
+    void aProcessThatEndsByItselfSaysWhyLast(@TempDir Path directory) throws Exception {
+        Ended ended = check(directory, "info", SETTINGS.replace("lease_s = 18.0", "lease_s = -1"));
+        assertEquals(2, ended.exitCode(), ended.output());
+        String last = ended.output().lines().reduce("", (before, line) -> line);
+        assertTrue(last.startsWith("spoolline: ends with exit code 2: "), last);
+        assertTrue(last.contains("cluster.workers.lease_s, which is -1"), last);
+    }
+
+    /** {@code --check} is stricter than a start: a field that would be replaced is reported, and the check fails. */
+    @Test
+    void theCheckFailsOnAFieldThatWouldBeReplaced(@TempDir Path directory) throws Exception {
+        assertEquals(0, check(directory, "info", SETTINGS).exitCode());
+        Ended ended = check(directory, "info", SETTINGS.replace("sockets = 2500", "sockets = \"many\""));
+        assertEquals(2, ended.exitCode(), ended.output());
+        assertTrue(ended.output().contains("cluster.quota.sockets is \"many\", 100 is used"), ended.output());
+    }
+}
