--- a/src/main/java/org/spoolline/cli/Main.java
+++ b/src/main/java/org/spoolline/cli/Main.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.net.BindException;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.Locale;
 import java.util.SplittableRandom;
 import java.util.concurrent.Callable;
@@ -42,6 +43,8 @@
         version = "spoolline 0.1.0",
         description = "Cluster scheduler: runs one controller node until it is killed.")
 public final class Main implements Callable<Integer> {
+    private static final String DEFAULT_LOG_LEVEL = "info";
+    private static final List<String> LOG_LEVELS = List.of("error", DEFAULT_LOG_LEVEL, "debug");
     private static final long BYTES_PER_MIB = 1024 * 1024;
 
     @Option(names = "--config", paramLabel = "FILE", description = "Settings file (TOML).")
@@ -60,14 +63,7 @@
     private boolean rehearse;
 
     public static void main(String[] args) {
-        String level = System.getenv().getOrDefault("LOG_LEVEL", "info");
-        switch (level) {
-            case "error", "info", "debug" -> {}
-            default -> {
-                System.exit(ProcessEnd.say(
-                        ProcessEnd.BAD_SETTINGS, "LOG_LEVEL must be error, info or debug, not " + level));
-            }
-        }
+        String level = logLevel(System.getenv("LOG_LEVEL"));
         System.getProperties().putIfAbsent("javax.management.builder.initial", NoManagement.class.getName());
         System.setProperty("jboss.threads.eqe.register-mbean", "false");
         // Formatting a number in a locale other than this one loads the locale data of the whole platform.
@@ -75,7 +71,7 @@
         System.setProperty("slf4j.provider", SimpleServiceProvider.class.getName());
         System.setProperty("org.jboss.logging.provider", "slf4j");
         System.setProperty("org.slf4j.simpleLogger.defaultLogLevel", "error");
-        System.setProperty("org.slf4j.simpleLogger.log.org.spoolline", level.toLowerCase(Locale.ROOT));
+        System.setProperty("org.slf4j.simpleLogger.log.org.spoolline", level);
         System.setProperty("org.slf4j.simpleLogger.showThreadName", "false");
         System.setProperty("org.slf4j.simpleLogger.showShortLogName", "true");
         Main command = new Main();
@@ -93,6 +89,19 @@
         }
     }
 
+    /** The level to log at. One that is not known keeps no node from starting: it is told and the default taken. */
+    private static String logLevel(String wanted) {
+        if (wanted == null) {
+            return DEFAULT_LOG_LEVEL;
+        }
+        String level = wanted.toLowerCase(Locale.ROOT);
+        if (LOG_LEVELS.contains(level)) {
+            return level;
+        }
+        System.err.println("spoolline: LOG_LEVEL is " + wanted + ", " + DEFAULT_LOG_LEVEL + " is used");
+        return DEFAULT_LOG_LEVEL;
+    }
+
     @Override
     public Integer call() throws IOException, SettingsException, InterruptedException {
         return rehearse ? new Rehearsal().play() ? 0 : 1 : serveOrCheck();
