--- a/src/test/java/org/spoolline/world/MalformedInputTest.java
+++ b/src/test/java/org/spoolline/world/MalformedInputTest.java
@@ -99,9 +99,9 @@
         otherWorkIsServed(world, "machine types");
     }
 
-    /** Malformed heartbeats get 400 and malformed words of peers change nothing; a token no leader has given deposes nobody. */
+    /** Distorted heartbeats and words of peers reach every controller within half a second. */
     @Test
-    void heartbeatsAndPeersThatCannotBeUsedChangeNothing() {
+    void heartbeatsAndPeersThatCannotBeUsedKeepNoJobFromStarting() {
         World world = new World(8);
         world.run(3);
         String heartbeat = "{\"spooler\":\"m-000999\",\"addr\":\"m-000999:1\",\"build\":\"small\",\"yard\":\"a\","
