--- a/src/test/java/org/spoolline/cli/MainTest.java
+++ b/src/test/java/org/spoolline/cli/MainTest.java
@@ -10,39 +10,11 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.spoolline.settings.SampleSettings;
 
 /** The program as the platform starts it, in a process of its own. */
 class MainTest {
-    private static final String SETTINGS =
-            """
-            node_name = "n0"
-            domain = "a"
-            serve_on = "127.0.0.1:1"
-            internal_addr = "127.0.0.1:2"
-            [services]
-            cloud = "127.0.0.1:3"
-            state = "127.0.0.1:4"
-            [cluster]
-            count = 1
-            [cluster.workers]
-            report_s = 3.0
-            lease_s = 18.0
-            gang_wait_s = 30.0
-            gang_peer_s = 5.0
-            cancel_s = 48.0
-            [cluster.state]
-            rps = 100.0
-            write_rps = 40.0
-            value_kb = 8.0
-            txn_ops = 12
-            [cluster.cloud]
-            rps = 10.0
-            list_lag_s = 6.0
-            [cluster.quota]
-            cpu_share = 0.34
-            ram_mb = 320.0
-            sockets = 2500
-            """;
+    private static final String SETTINGS = SampleSettings.NODE;
 
     private record Ended(int exitCode, String output) {}
 
