Log lines and counters that the quota incident's records lacked

Cause: the records tell what was decided, not what was stored: Placed tasks and Lost attempts are logged at the decision, without the proof, its ages, the revision or the team's usage, so the same attempt number is placed twice in them.

Change, no behaviour: leader and token at both ends of a term; revision of each read of the jobs, and the end of a time without one at info; the proof by name with the ages of heartbeat and answer for each lost attempt; each write sent, applied, deferred or abandoned with transaction and revision (debug); each launch with the revision that allows it and the team's cores against its limit. JobTable notes which committed attempts a decision has released, and sums usage by team by differences.

--- a/src/main/java/org/spoolline/config/Constants.java
+++ b/src/main/java/org/spoolline/config/Constants.java
@@ -376,6 +376,8 @@
         public static final long COUNTERS_LOG_MS = 60_000;
         /** Ms between two log lines on jobs that can't be read. */
         public static final long READ_FAILURE_LOG_MS = 5_000;
+        /** Ms without a read of the jobs that are logged once they end: twice the time between two usual reads. */
+        public static final long READ_GAP_LOG_MS = 2_500;
         /** Ms without a placement after which a leader with waiting jobs logs why: above a usual boot and fetch. */
         public static final long STALL_MS = 30_000;
     }
--- a/src/main/java/org/spoolline/election/LeaderElection.java
+++ b/src/main/java/org/spoolline/election/LeaderElection.java
@@ -160,7 +160,7 @@
         if (!leading) {
             return;
         }
-        LOG.info("Lost leadership: token={} reason={}", fencingToken, reason);
+        LOG.info("Lost leadership: leader={} token={} reason={}", settings.node(), fencingToken, reason);
         leading = false;
         leaseKeeper.stop();
         observer.forgetLeader();
@@ -189,7 +189,8 @@
         store.setLeader(true);
         counters.count(Event.ELECTION_WON);
         LOG.info(
-                "Elected leader: token={} revision={} campaign_ms={}",
+                "Elected leader: leader={} token={} revision={} campaign_ms={}",
+                settings.node(),
                 fencingToken,
                 leaderKeyVersion,
                 loop.now() - term.leaseSentAt());
--- a/src/main/java/org/spoolline/job/JobTable.java
+++ b/src/main/java/org/spoolline/job/JobTable.java
@@ -3,8 +3,10 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Set;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.spoolline.kvstore.WatchEvent;
@@ -26,6 +28,10 @@
         private WatchEvent deferred;
 
         private boolean cancellationSeen;
+        /** Committed attempts that this leader has decided to have ended. */
+        private final Set<Attempt> released = new HashSet<>();
+        /** Unlisted attempts of the committed value that it has decided to have ended. */
+        private int releasedUnlisted;
 
         private Entry(Pipeline committed, long version) {
             this.committed = committed;
@@ -57,6 +63,24 @@
             return committed.hasAttempt(attempt) && (proposed == null || proposed.hasAttempt(attempt));
         }
 
+        /** True for a committed attempt whose end is decided, though perhaps not stored. */
+        public boolean isReleased(Attempt attempt) {
+            return released.contains(attempt);
+        }
+
+        /** Number of committed attempts, listed or not, whose end is not decided. */
+        private int heldAttempts() {
+            int held = committed.attempts().size() - released.size();
+            return held + committed.unlistedAttempts() - releasedUnlisted;
+        }
+
+        private void commit(Pipeline value, long newVersion) {
+            committed = value;
+            version = newVersion;
+            released.removeIf(attempt -> !value.hasAttempt(attempt));
+            releasedUnlisted = 0;
+        }
+
         /** True once a cancellation is known. Nothing undoes one, so it counts whatever is being written. */
         public boolean cancelled() {
             return cancellationSeen || committed.cancelled() || proposed != null && proposed.cancelled();
@@ -77,6 +101,7 @@
 
     private final Map<String, Entry> entries = new LinkedHashMap<>();
     private final AttemptIndex attempts = new AttemptIndex();
+    private final TeamUsageIndex usage = new TeamUsageIndex();
     private final Map<String, Long> removedAtVersion = new HashMap<>();
 
     /** All live jobs, in the order in which they became known. */
@@ -99,10 +124,40 @@
         return attempts.hasAttemptsOn(machine);
     }
 
+    /** Cores that the team's committed attempts take, without those that are released. */
+    public double coresUsed(String team) {
+        return usage.cores(team);
+    }
+
+    /** Accelerators that the team's committed attempts take, without those that are released. */
+    public double acceleratorsUsed(String team) {
+        return usage.accelerators(team);
+    }
+
+    /**
+     * Records which committed attempts have ended, as this leader has decided: those that {@code next} lacks. The decision
+     * lasts until a value without them is committed.
+     *
+     * @return how many of them were not released before
+     */
+    public int release(Entry entry, Pipeline next) {
+        int heldBefore = entry.heldAttempts();
+        for (Attempt attempt : entry.committed.attempts()) {
+            if (!next.hasAttempt(attempt)) {
+                entry.released.add(attempt);
+            }
+        }
+        entry.releasedUnlisted = Math.max(0, entry.committed.unlistedAttempts() - next.unlistedAttempts());
+        int newlyReleased = heldBefore - entry.heldAttempts();
+        usage.add(entry.committed.spec(), -newlyReleased);
+        return newlyReleased;
+    }
+
     /** Forgets every job, as a new term does. */
     public void clear() {
         entries.clear();
         attempts.clear();
+        usage.clear();
         removedAtVersion.clear();
     }
 
@@ -186,6 +241,7 @@
         removedAtVersion.merge(jobId, version, Math::max);
         if (entry != null) {
             attempts.remove(entry.committed);
+            usage.add(entry.committed.spec(), -entry.heldAttempts());
         }
     }
 
@@ -197,13 +253,16 @@
     private void commit(String jobId, Pipeline value, long version) {
         Entry entry = entries.get(jobId);
         if (entry == null) {
-            entries.put(jobId, new Entry(value, version));
+            Entry added = new Entry(value, version);
+            entries.put(jobId, added);
             attempts.add(value);
+            usage.add(value.spec(), added.heldAttempts());
             return;
         }
         Pipeline before = entry.committed;
-        entry.committed = value;
-        entry.version = version;
+        usage.add(before.spec(), -entry.heldAttempts());
+        entry.commit(value, version);
+        usage.add(value.spec(), entry.heldAttempts());
         attempts.replace(before, value);
     }
 }
--- a/src/main/java/org/spoolline/job/JobWatcher.java
+++ b/src/main/java/org/spoolline/job/JobWatcher.java
@@ -87,7 +87,7 @@
             }
             staleness.completeAsOf(sentAt);
             counters.count(Event.JOBS_LISTED);
-            unreadSince = loop.now();
+            readSucceeded(listing.revision(), sentAt);
             if (!loaded) {
                 loaded = true;
                 LOG.info(
@@ -120,7 +120,7 @@
             if (!watched.answered()) {
                 readFailed(Event.JOBS_WATCH_FAILED);
             } else {
-                unreadSince = loop.now();
+                readSucceeded(watched.revision(), sentAt);
                 jobs.forgetRemovalsUpTo(watched.revision());
                 staleness.completeAsOf(sentAt);
             }
@@ -134,6 +134,17 @@
         });
     }
 
+    /** Logs the end of a time without a read at info, since the age of what a leader knows explains what it does. */
+    private void readSucceeded(long revision, long askedAt) {
+        long unreadMs = loop.now() - unreadSince;
+        if (unreadMs >= Constants.Logging.READ_GAP_LOG_MS) {
+            LOG.info("Live jobs read again: token={} revision={} unread_ms={}", term, revision, unreadMs);
+        } else {
+            LOG.debug("Live jobs read: token={} revision={} answer_ms={}", term, revision, loop.now() - askedAt);
+        }
+        unreadSince = loop.now();
+    }
+
     /** Logs that a leader which can't read the jobs places nothing, though not at each failure. */
     private void readFailed(Event event) {
         counters.count(event);
--- a/src/main/java/org/spoolline/metrics/Event.java
+++ b/src/main/java/org/spoolline/metrics/Event.java
@@ -23,6 +23,8 @@
 
     /** A launch was ordered. */
     LAUNCH_ORDERED,
+    /** A launch was ordered for an attempt whose end this leader has decided but not stored: never to happen. */
+    LAUNCH_OF_RELEASED_ATTEMPT,
     /** A response carried no launches because the leader's view of the jobs is too old. */
     LAUNCH_WITHHELD_STALE_VIEW,
     /** A gang's launch waits for members that still fetch their image. */
@@ -42,6 +44,14 @@
     PLAN_FAILED,
     /** A task was placed; its launch follows once that is stored. */
     TASK_PLACED,
+    /** The end of an attempt was decided; its capacity counts as free. */
+    ATTEMPT_RELEASED,
+    /** The heartbeats of the leader's machines show a team over its limit: never to happen. */
+    TEAM_OVER_LIMIT,
+    /** A cycle left a write for a later one, since the write budget or the transactions in flight were used up. */
+    WRITE_DEFERRED,
+    /** A write was not stored, by a refusal or a conflict; it is decided anew. */
+    WRITE_ABANDONED,
 
     /** The live jobs were read in full. */
     JOBS_LISTED,
--- a/src/main/java/org/spoolline/reconcile/AttemptReconciler.java
+++ b/src/main/java/org/spoolline/reconcile/AttemptReconciler.java
@@ -124,24 +124,17 @@
         return draft.result();
     }
 
-    /** Logs one line a job: after a crash of all controllers hundreds of attempts may be lost, when time is short. */
     private void reconcileAttempts(DraftPipeline draft, Collection<Attempt> due) {
-        int lost = 0;
+        LostAttemptsLog lost = new LostAttemptsLog(draft.committed().jobId(), loop.now());
         for (Attempt attempt : due) {
-            if (draft.committed().hasAttempt(attempt)
-                    && reconcileAttempt(draft, attempt) == TerminationProof.AttemptState.TERMINATED) {
-                lost++;
+            if (draft.committed().hasAttempt(attempt)) {
+                reconcileAttempt(draft, attempt, lost);
             }
         }
-        if (lost > 0) {
-            LOG.info(
-                    "Lost attempts with their machines: job={} attempts={}",
-                    draft.committed().jobId(),
-                    lost);
-        }
+        lost.write();
     }
 
-    private TerminationProof.AttemptState reconcileAttempt(DraftPipeline draft, Attempt attempt) {
+    private void reconcileAttempt(DraftPipeline draft, Attempt attempt, LostAttemptsLog lost) {
         Pipeline committed = draft.committed();
         String jobId = committed.jobId();
         Machine machine = machines.get(attempt.machine());
@@ -158,12 +151,7 @@
             case EXITED -> exits.apply(draft.forChange(), attempt, machine, assessment.status());
             case TERMINATED -> {
                 draft.forChange().loseAttempt(attempt);
-                LOG.debug(
-                        "Lost attempt with its machine: job={} task={} attempt={} machine={}",
-                        jobId,
-                        attempt.task(),
-                        attempt.number(),
-                        attempt.machine());
+                lost.add(attempt, assessment.proof(), machine);
             }
             case ABSENT -> {
                 if (toStop) {
@@ -172,7 +160,6 @@
             }
             case UNKNOWN -> {}
         }
-        return assessment.state();
     }
 
     /**
--- a/src/main/java/org/spoolline/reconcile/TerminationProof.java
+++ b/src/main/java/org/spoolline/reconcile/TerminationProof.java
@@ -1,5 +1,6 @@
 package org.spoolline.reconcile;
 
+import java.util.Locale;
 import org.spoolline.cluster.Machine;
 import org.spoolline.cluster.TaskStatus;
 import org.spoolline.pipeline.Attempt;
@@ -37,16 +38,41 @@
         UNKNOWN
     }
 
+    /** The proof on which a verdict rests. */
+    public enum Proof {
+        /** Nothing is proven. */
+        NONE,
+        /** Proof 1. */
+        OTHER_INCARNATION,
+        /** Proof 2. */
+        REPORTED_EXIT,
+        /** Proof 3. */
+        NOT_LISTED,
+        /** Proof 4. */
+        MACHINE_TERMINATED,
+        /** Proof 5. */
+        LEASE_EXPIRED;
+
+        /** The name in logs. */
+        public String label() {
+            return name().toLowerCase(Locale.ROOT);
+        }
+    }
+
     /**
      * A verdict with what supports it.
      *
      * @param status the attempt's status in the last heartbeat with ALIVE and EXITED, else null
      */
-    public record Assessment(AttemptState state, TaskStatus status) {}
+    public record Assessment(AttemptState state, Proof proof, TaskStatus status) {}
 
-    private static final Assessment TERMINATED = new Assessment(AttemptState.TERMINATED, null);
-    private static final Assessment ABSENT = new Assessment(AttemptState.ABSENT, null);
-    private static final Assessment UNKNOWN = new Assessment(AttemptState.UNKNOWN, null);
+    private static final Assessment OTHER_INCARNATION =
+            new Assessment(AttemptState.TERMINATED, Proof.OTHER_INCARNATION, null);
+    private static final Assessment MACHINE_TERMINATED =
+            new Assessment(AttemptState.TERMINATED, Proof.MACHINE_TERMINATED, null);
+    private static final Assessment LEASE_EXPIRED = new Assessment(AttemptState.TERMINATED, Proof.LEASE_EXPIRED, null);
+    private static final Assessment ABSENT = new Assessment(AttemptState.ABSENT, Proof.NOT_LISTED, null);
+    private static final Assessment UNKNOWN = new Assessment(AttemptState.UNKNOWN, Proof.NONE, null);
 
     private final long token;
     private final long formerLeadersMayRenewUntil;
@@ -74,14 +100,14 @@
      */
     public Assessment assess(String jobId, Attempt attempt, Machine machine, long now) {
         if (machine == null) {
-            return leaseExpired(null, now) ? TERMINATED : UNKNOWN;
+            return leaseExpired(null, now) ? LEASE_EXPIRED : UNKNOWN;
         }
         if (machine.terminated()) {
-            return TERMINATED;
+            return MACHINE_TERMINATED;
         }
         Assessment reported = fromLastHeartbeat(jobId, attempt, machine);
         boolean ended = reported.state() == AttemptState.EXITED || reported.state() == AttemptState.TERMINATED;
-        return !ended && leaseExpired(machine, now) ? TERMINATED : reported;
+        return !ended && leaseExpired(machine, now) ? LEASE_EXPIRED : reported;
     }
 
     /**
@@ -93,7 +119,7 @@
         if (machine.incarnation() != attempt.incarnation()) {
             // A later incarnation, or an earlier one after a restart: one that shows the token lived after the
             // attempt's.
-            return showsPresentToken ? TERMINATED : UNKNOWN;
+            return showsPresentToken ? OTHER_INCARNATION : UNKNOWN;
         }
         AttemptId attemptId = AttemptId.of(jobId, attempt);
         TaskStatus status = machine.tasks().get(attemptId);
@@ -101,9 +127,9 @@
             return showsPresentToken && !machine.launchPending(attemptId) ? ABSENT : UNKNOWN;
         }
         if (status.phase() != TaskStatus.Phase.EXITED) {
-            return new Assessment(AttemptState.ALIVE, status);
+            return new Assessment(AttemptState.ALIVE, Proof.NONE, status);
         }
-        return showsPresentToken ? new Assessment(AttemptState.EXITED, status) : UNKNOWN;
+        return showsPresentToken ? new Assessment(AttemptState.EXITED, Proof.REPORTED_EXIT, status) : UNKNOWN;
     }
 
     /**
--- a/src/main/java/org/spoolline/scheduler/JobStepper.java
+++ b/src/main/java/org/spoolline/scheduler/JobStepper.java
@@ -4,6 +4,8 @@
 import java.util.Optional;
 import org.spoolline.config.Constants;
 import org.spoolline.job.JobTable;
+import org.spoolline.metrics.Counters;
+import org.spoolline.metrics.Event;
 import org.spoolline.net.EventLoop;
 import org.spoolline.pipeline.Attempt;
 import org.spoolline.pipeline.Pipeline;
@@ -16,14 +18,16 @@
     private final DependencyTracker dependencies;
     private final AttemptReconciler reconciler;
     private final DirtyAttempts dirtyAttempts;
+    private final Counters counters;
     private long lastFullReconcileAt;
 
-    JobStepper(EventLoop loop, JobTable jobs, TermState termState) {
+    JobStepper(EventLoop loop, JobTable jobs, TermState termState, Counters counters) {
         this.loop = loop;
         this.jobs = jobs;
         this.dependencies = termState.dependencies();
         this.reconciler = termState.reconciler();
         this.dirtyAttempts = termState.dirtyAttempts();
+        this.counters = counters;
     }
 
     /** Begins a term: the first full reconciliation is due one interval from now. */
@@ -78,6 +82,7 @@
         Optional<Pipeline> next = unaffected ? Optional.empty() : reconciler.tryReconcile(committed, due);
         state.addJob(next.orElse(committed));
         if (next.isPresent()) {
+            counters.count(Event.ATTEMPT_RELEASED, jobs.release(entry, next.get()));
             state.addWrite(entry, next.get());
             dirtyAttempts.mark(jobId, due);
         } else {
--- a/src/main/java/org/spoolline/scheduler/PipelineWriter.java
+++ b/src/main/java/org/spoolline/scheduler/PipelineWriter.java
@@ -1,10 +1,12 @@
 package org.spoolline.scheduler;
 
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import org.spoolline.election.LeaderElection;
 import org.spoolline.job.JobTable;
 import org.spoolline.kvstore.KeyValueStoreClient;
+import org.spoolline.metrics.Counters;
 import org.spoolline.net.EventLoop;
 
 /**
@@ -31,13 +33,20 @@
     private final RefusedWrites refused;
     private final WriteOrder order;
     private final TransactionCommitter committer;
+    private final WriteLog writeLog;
 
     PipelineWriter(
-            EventLoop loop, KeyValueStoreClient store, LeaderElection election, JobTable jobs, Listener listener) {
+            EventLoop loop,
+            KeyValueStoreClient store,
+            LeaderElection election,
+            JobTable jobs,
+            Listener listener,
+            Counters counters) {
         this.store = store;
         this.refused = new RefusedWrites(loop);
+        this.writeLog = new WriteLog(counters);
         this.order = new WriteOrder(loop, store, refused);
-        this.committer = new TransactionCommitter(loop, store, election, jobs, refused, listener);
+        this.committer = new TransactionCommitter(loop, store, election, jobs, refused, listener, writeLog);
     }
 
     /** Begins the term of this token, or with 0 ends the present one; answers to transactions in flight are ignored. */
@@ -60,8 +69,8 @@
      */
     boolean write(Map<String, PendingWrite> writes) {
         List<PendingWrite> ordered = order.order(writes);
+        Map<String, PendingWrite> unsent = new LinkedHashMap<>(writes);
         int allowance = store.availableWrites();
-        int accepted = 0;
         WriteBatch batch = new WriteBatch();
         for (PendingWrite write : ordered) {
             if (allowance < EncodedWrite.operations(write) || !committer.maySend()) {
@@ -77,11 +86,12 @@
                 batch = new WriteBatch();
             }
             batch.add(encoded);
-            accepted++;
+            unsent.remove(write.jobId());
             allowance -= encoded.operations();
         }
         boolean lastSent = sendIfPossible(batch);
-        return lastSent && accepted == writes.size();
+        writeLog.deferred(unsent.values(), allowance);
+        return lastSent && unsent.isEmpty();
     }
 
     private boolean mustStartBatch(WriteBatch batch, EncodedWrite next) {
--- /dev/null
+++ b/src/main/java/org/spoolline/scheduler/QuotaAudit.java
@@ -0,0 +1,84 @@
+package org.spoolline.scheduler;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.spoolline.cluster.Machine;
+import org.spoolline.cluster.MachineRegistry;
+import org.spoolline.cluster.TaskStatus;
+import org.spoolline.config.Constants;
+import org.spoolline.config.Settings;
+import org.spoolline.job.JobTable;
+import org.spoolline.metrics.Counters;
+import org.spoolline.metrics.Event;
+import org.spoolline.net.EventLoop;
+import org.spoolline.pipeline.AttemptId;
+import org.spoolline.pipeline.Pipeline;
+
+/**
+ * Compares what the machines' heartbeats list with the teams' limits. Placement and launching keep the limits; this is the
+ * check, by other knowledge, that they do. It changes nothing.
+ */
+final class QuotaAudit {
+    private static final Logger LOG = LoggerFactory.getLogger(QuotaAudit.class);
+
+    private final EventLoop loop;
+    private final Settings settings;
+    private final MachineRegistry machines;
+    private final JobTable jobs;
+    private final Counters counters;
+    private long lastAuditAt;
+
+    QuotaAudit(SchedulerContext context) {
+        this.loop = context.loop();
+        this.settings = context.settings();
+        this.machines = context.machines();
+        this.jobs = context.jobs();
+        this.counters = context.counters();
+    }
+
+    /** Audits all teams, unless that was done a short time ago: it looks at every task of every machine. */
+    void runIfDue() {
+        if (loop.now() - lastAuditAt < Constants.Cycle.FULL_RECONCILE_MS) {
+            return;
+        }
+        lastAuditAt = loop.now();
+        listedUsage().forEach(this::compare);
+    }
+
+    private Map<String, TeamUsage> listedUsage() {
+        Map<String, TeamUsage> usageByTeam = new HashMap<>();
+        for (Machine machine : machines.all()) {
+            if (!machine.terminated() && loop.now() - machine.lastHeartbeatAt() <= settings.leaseExpiryMs()) {
+                machine.tasks().forEach((attemptId, status) -> addIfOnMachine(usageByTeam, attemptId, status));
+            }
+        }
+        return usageByTeam;
+    }
+
+    private void addIfOnMachine(Map<String, TeamUsage> usageByTeam, AttemptId attemptId, TaskStatus status) {
+        boolean onMachine =
+                status.phase() != TaskStatus.Phase.EXITED && status.phase() != TaskStatus.Phase.FETCHING_IMAGE;
+        JobTable.Entry job = jobs.get(attemptId.jobId());
+        if (onMachine && job != null) {
+            Pipeline committed = job.committed();
+            usageByTeam
+                    .computeIfAbsent(committed.spec().team(), unseen -> new TeamUsage())
+                    .add(committed.spec(), 1);
+        }
+    }
+
+    private void compare(String name, TeamUsage listed) {
+        Settings.Team team = settings.teams().get(name);
+        if (team != null && !listed.isWithinLimit(team)) {
+            counters.count(Event.TEAM_OVER_LIMIT);
+            LOG.error(
+                    "Team over its limit by heartbeats: team={} cores={} limit={} stored_cores={}",
+                    name,
+                    listed.cores(),
+                    team.maxCores(),
+                    jobs.coresUsed(name));
+        }
+    }
+}
--- a/src/main/java/org/spoolline/scheduler/Scheduler.java
+++ b/src/main/java/org/spoolline/scheduler/Scheduler.java
@@ -67,7 +67,7 @@
         jobWatcher = new JobWatcher(
                 loop, context.store(), staleness, jobs, listener::jobsLoaded, this::requestCycle, counters);
         CommitListener commitListener = new CommitListener(jobs, termState, this::requestCycle);
-        writer = new PipelineWriter(loop, context.store(), election, jobs, commitListener);
+        writer = new PipelineWriter(loop, context.store(), election, jobs, commitListener, counters);
         cycle = new SchedulingCycle(context, termState, writer, autoscaler);
         pacer = new CyclePacer(loop, settings, this::runCycle);
         inspector = new StallInspector(election, context.catalog(), jobs, jobWatcher, writer);
--- a/src/main/java/org/spoolline/scheduler/SchedulingCycle.java
+++ b/src/main/java/org/spoolline/scheduler/SchedulingCycle.java
@@ -14,17 +14,19 @@
     private final LaunchPreparer launches;
     private final PipelineWriter writer;
     private final CapacityScaler scaler;
+    private final QuotaAudit quotaAudit;
     private int lastWriteCount;
 
     SchedulingCycle(SchedulerContext context, TermState termState, PipelineWriter writer, Autoscaler autoscaler) {
         this.termState = termState;
-        this.stepper = new JobStepper(context.loop(), context.jobs(), termState);
+        this.stepper = new JobStepper(context.loop(), context.jobs(), termState, context.counters());
         this.evictions = new MachineEvictions(context.loop(), context.machines(), termState);
         this.launches = new LaunchPreparer(context, termState.gangLaunches(), termState.images());
         this.planner = new CyclePlanner(
                 new ClusterSnapshotBuilder(context, termState), launches, evictions, context.counters());
         this.writer = writer;
         this.scaler = new CapacityScaler(context.loop(), context.jobs(), termState.reservations(), autoscaler);
+        this.quotaAudit = new QuotaAudit(context);
     }
 
     /** Begins a term. */
@@ -57,6 +59,7 @@
         boolean allSent = write(state);
         scaler.scale(plan, state);
         notifyOfOrders(allSent);
+        quotaAudit.runIfDue();
     }
 
     private boolean write(CycleState state) {
--- a/src/main/java/org/spoolline/scheduler/TeamUsage.java
+++ b/src/main/java/org/spoolline/scheduler/TeamUsage.java
@@ -26,6 +26,12 @@
                 && accelerators <= team.guaranteedAccelerators() + Constants.Placement.EPSILON;
     }
 
+    /** True when the total is within the team's limits. */
+    boolean isWithinLimit(Settings.Team team) {
+        return cores <= team.maxCores() + Constants.Placement.EPSILON
+                && accelerators <= team.maxAccelerators() + Constants.Placement.EPSILON;
+    }
+
     /** How many more tasks of the job the team's limits allow. */
     int headroom(Settings.Team team, Submission job) {
         double tasks = Math.floor((team.maxCores() - cores) / job.cores() + Constants.Placement.EPSILON);
--- a/src/main/java/org/spoolline/scheduler/TransactionCommitter.java
+++ b/src/main/java/org/spoolline/scheduler/TransactionCommitter.java
@@ -24,7 +24,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(TransactionCommitter.class);
 
     /** A transaction that was sent, with the term in which it was; a later term ignores its answer. */
-    private record Sent(Transaction transaction, List<PendingWrite> writes, int operations, long term) {}
+    private record Sent(long id, Transaction transaction, List<PendingWrite> writes, int operations, long term) {}
 
     private final EventLoop loop;
     private final KeyValueStoreClient store;
@@ -32,7 +32,9 @@
     private final JobTable jobs;
     private final RefusedWrites refused;
     private final PipelineWriter.Listener listener;
+    private final WriteLog writeLog;
     private long term;
+    private long transactions;
     private int inFlight;
 
     TransactionCommitter(
@@ -41,13 +43,15 @@
             LeaderElection election,
             JobTable jobs,
             RefusedWrites refused,
-            PipelineWriter.Listener listener) {
+            PipelineWriter.Listener listener,
+            WriteLog writeLog) {
         this.loop = loop;
         this.store = store;
         this.election = election;
         this.jobs = jobs;
         this.refused = refused;
         this.listener = listener;
+        this.writeLog = writeLog;
     }
 
     /** Begins the term of this token, or with 0 ends the present one; answers to earlier transactions are ignored. */
@@ -77,7 +81,8 @@
             listener.sent(write);
         }
         inFlight++;
-        Sent sent = new Sent(transaction, writes, batch.operations(), term);
+        Sent sent = new Sent(++transactions, transaction, writes, batch.operations(), term);
+        writeLog.sent(sent.id(), writes);
         commit(sent, result -> firstCopyAnswered(sent, result));
     }
 
@@ -100,7 +105,10 @@
 
     /** Sends a transaction again, of which an earlier copy may have been applied, or may yet be. */
     private void resendLater(Sent sent) {
-        LOG.info("Resending unanswered transaction: jobs={}", sent.writes().size());
+        LOG.info(
+                "Resending unanswered transaction: transaction={} jobs={}",
+                sent.id(),
+                sent.writes().size());
         later(sent.term(), () -> commit(sent, result -> laterCopyAnswered(sent, result)));
     }
 
@@ -111,7 +119,7 @@
             case TOO_LARGE -> {
                 // The limits were lowered after an earlier copy was sent: only the stored values show its outcome.
                 inFlight--;
-                sent.writes().forEach(write -> reread(write, sent.term()));
+                sent.writes().forEach(write -> reread(sent, write));
                 listener.transactionDecided(false);
             }
             default -> decided(sent, result);
@@ -121,14 +129,16 @@
     private void decided(Sent sent, CommitResult result) {
         inFlight--;
         switch (result.outcome()) {
-            case APPLIED -> handleApplied(sent.writes(), result.revision());
+            case APPLIED -> handleApplied(sent, result.revision());
             case CONFLICT -> handleConflict(sent, result.failedKeys());
-            default -> handleRefusal(sent.writes(), result.outcome());
+            default -> handleRefusal(sent, result.outcome());
         }
         listener.transactionDecided(result.outcome() == CommitOutcome.APPLIED);
     }
 
-    private void handleApplied(List<PendingWrite> writes, long revision) {
+    private void handleApplied(Sent sent, long revision) {
+        List<PendingWrite> writes = sent.writes();
+        writeLog.applied(sent.id(), writes, revision);
         writes.forEach(write -> refused.written(write.jobId()));
         writes.forEach(write -> listener.applied(write, revision));
     }
@@ -139,10 +149,7 @@
             election.stepDown("the leader key has changed");
             return;
         }
-        LOG.info(
-                "Transaction conflicted with newer values: jobs={} keys={}",
-                sent.writes().size(),
-                failedKeys);
+        writeLog.conflicted(sent.id(), sent.writes(), failedKeys);
         for (PendingWrite write : sent.writes()) {
             if (failedKeys.contains(JobKeys.live(write.jobId()))) {
                 refused.isolate(write.jobId());
@@ -150,41 +157,43 @@
         }
         for (PendingWrite write : sent.writes()) {
             if (failedKeys.contains(JobKeys.live(write.jobId()))) {
-                reread(write, sent.term());
+                reread(sent, write);
             } else {
-                abandon(write.entry());
+                abandon(sent, write.entry(), CommitOutcome.CONFLICT);
             }
         }
     }
 
-    private void handleRefusal(List<PendingWrite> writes, CommitOutcome outcome) {
-        LOG.info("Transaction refused: jobs={} reason={}", writes.size(), outcome);
+    private void handleRefusal(Sent sent, CommitOutcome outcome) {
+        List<PendingWrite> writes = sent.writes();
+        writeLog.refused(sent.id(), writes, outcome);
         if (outcome == CommitOutcome.TOO_LARGE && writes.size() == 1) {
             refused.pauseOversized(writes.get(0).jobId());
         }
         if (outcome != CommitOutcome.REFUSED) {
             writes.forEach(write -> refused.isolate(write.jobId()));
         }
-        writes.forEach(write -> abandon(write.entry()));
+        writes.forEach(write -> abandon(sent, write.entry(), outcome));
     }
 
-    private void abandon(JobTable.Entry entry) {
+    private void abandon(Sent sent, JobTable.Entry entry, CommitOutcome outcome) {
+        writeLog.abandoned(sent.id(), entry, outcome);
         jobs.abandonProposed(entry);
         listener.abandoned(entry);
     }
 
     /** Reads the job's stored value, which shows whether the write was applied. */
-    private void reread(PendingWrite write, long readTerm) {
+    private void reread(Sent sent, PendingWrite write) {
         store.acquireWithDebt(0);
         store.get(JobKeys.live(write.jobId()), read -> {
-            if (term != readTerm) {
+            if (term != sent.term()) {
                 return;
             }
             if (!read.answered()) {
-                later(readTerm, () -> reread(write, readTerm));
+                later(sent.term(), () -> reread(sent, write));
                 return;
             }
-            abandon(write.entry());
+            abandon(sent, write.entry(), CommitOutcome.CONFLICT);
             observe(write, read.value());
             listener.transactionDecided(false);
         });
--- a/src/main/java/org/spoolline/worker/HeartbeatResponder.java
+++ b/src/main/java/org/spoolline/worker/HeartbeatResponder.java
@@ -22,6 +22,7 @@
     private final LeaderElection election;
     private final StalenessBound staleness;
     private final OrderPlanner planner;
+    private final LaunchLog launchLog;
     private final Counters counters;
     private boolean ordersEnabled;
 
@@ -30,11 +31,13 @@
             LeaderElection election,
             StalenessBound staleness,
             OrderPlanner planner,
+            LaunchLog launchLog,
             Counters counters) {
         this.loop = loop;
         this.election = election;
         this.staleness = staleness;
         this.planner = planner;
+        this.launchLog = launchLog;
         this.counters = counters;
     }
 
@@ -99,14 +102,8 @@
     private void record(Machine machine, Order order) {
         AttemptId attemptId = order.attemptId();
         if (order instanceof Order.Launch) {
-            counters.count(Event.LAUNCH_ORDERED);
             machine.recordLaunch(attemptId);
-            LOG.debug(
-                    "Ordered launch: job={} task={} attempt={} machine={}",
-                    attemptId.jobId(),
-                    attemptId.task(),
-                    attemptId.attempt(),
-                    machine.name());
+            launchLog.ordered(attemptId, machine.name());
         } else if (order instanceof Order.Stop stop) {
             counters.count(Event.STOP_ORDERED);
             LOG.debug(
--- a/src/main/java/org/spoolline/worker/HeartbeatService.java
+++ b/src/main/java/org/spoolline/worker/HeartbeatService.java
@@ -13,6 +13,7 @@
 import org.spoolline.election.LeaderElection;
 import org.spoolline.election.StalenessBound;
 import org.spoolline.job.JobTable;
+import org.spoolline.job.TeamQuotas;
 import org.spoolline.metrics.Counters;
 import org.spoolline.metrics.Event;
 import org.spoolline.net.EventLoop;
@@ -68,7 +69,8 @@
         this.onChange = onChange;
         this.counters = counters;
         planner = new OrderPlanner(jobs, desiredState, counters);
-        responder = new HeartbeatResponder(loop, election, staleness, planner, counters);
+        LaunchLog launchLog = new LaunchLog(jobs, new TeamQuotas(settings, jobs), counters);
+        responder = new HeartbeatResponder(loop, election, staleness, planner, launchLog, counters);
         heldResponses = new HeldResponses(loop, staleness, planner, responder);
         earlyHeartbeats = new EarlyHeartbeatRequests(loop, http, settings, election, machines, heldResponses);
     }
--- a/src/test/java/org/spoolline/scheduler/PipelineWriterTest.java
+++ b/src/test/java/org/spoolline/scheduler/PipelineWriterTest.java
@@ -52,7 +52,8 @@
             SETTINGS);
     private final LeaderElection election =
             new LeaderElection(loop, new Random(1), store, SETTINGS, new IgnoredLeadership(), new Counters(loop));
-    private final PipelineWriter writer = new PipelineWriter(loop, store, election, jobs, new RecordedOutcomes());
+    private final PipelineWriter writer =
+            new PipelineWriter(loop, store, election, jobs, new RecordedOutcomes(), new Counters(loop));
 
     private Http.Reply committed(byte[] body) {
         sent.add(new String(body, StandardCharsets.UTF_8));
