Failing reproduction of the quota incident: a launch of an attempt that was given up

Change: QuotaAfterOutageTest, two scenarios with a backlog of gangs, an outage of 50 s and 30 writes a second; a unit test for the smallest form in TerminationProofTest.

--- a/src/main/java/org/spoolline/Controller.java
+++ b/src/main/java/org/spoolline/Controller.java
@@ -104,6 +104,11 @@
         health.startProbing();
     }
 
+    /** What the node has counted since its start. */
+    public Counters counters() {
+        return counters;
+    }
+
     /** Serves users, workers and health checks. */
     public void serve(Http.Request request, Consumer<Http.Response> answer) {
         // A loop that is busy with requests is late with its timers, and leadership must not end by that.
--- a/src/test/java/org/spoolline/reconcile/TerminationProofTest.java
+++ b/src/test/java/org/spoolline/reconcile/TerminationProofTest.java
@@ -21,20 +21,12 @@
     private final Machine machine = new Machine("m", "small", "a", false, 0);
 
     private Machine.HeartbeatChange accept(long incarnation, long number, long token, TaskStatus... tasks) {
-        return machine.accept(
-                new Heartbeat(
-                        "m",
-                        "m:9",
-                        "small",
-                        "a",
-                        false,
-                        incarnation,
-                        number,
-                        token,
-                        OptionalDouble.empty(),
-                        List.of(tasks)),
-                LEASE_MS,
-                1_000);
+        return machine.accept(heartbeat(incarnation, number, token, tasks), LEASE_MS, 1_000);
+    }
+
+    private static Heartbeat heartbeat(long incarnation, long number, long token, TaskStatus... tasks) {
+        return new Heartbeat(
+                "m", "m:9", "small", "a", false, incarnation, number, token, OptionalDouble.empty(), List.of(tasks));
     }
 
     private TerminationProof.AttemptState verdict() {
@@ -64,6 +56,31 @@
         assertEquals(TerminationProof.AttemptState.EXITED, verdict());
     }
 
+    /**
+     * After an outage the worker counts a new incarnation, and the last answer is older than a lease. The next answer renews
+     * the lease of that incarnation and may launch the attempt: the expiry of the lease before says nothing about it.
+     */
+    @Test
+    void anExpiredLeaseSaysNothingAboutAnIncarnationFirstHeardOfLater() {
+        machine.recordResponse(PRESENT, 1_000);
+        machine.accept(heartbeat(2, 28, PRESENT), LEASE_MS, 20_000);
+        Attempt placedSince = new Attempt(4, 1, "m", 2);
+        assertEquals(
+                TerminationProof.AttemptState.ABSENT,
+                terminationProof
+                        .assess("run-000011", placedSince, machine, 20_500)
+                        .state());
+        assertEquals(
+                TerminationProof.AttemptState.TERMINATED,
+                terminationProof.assess("run-000011", ATTEMPT, machine, 20_500).state());
+        // Unanswered for a lease, that incarnation has ended too.
+        assertEquals(
+                TerminationProof.AttemptState.TERMINATED,
+                terminationProof
+                        .assess("run-000011", placedSince, machine, 38_001)
+                        .state());
+    }
+
     /** The attempt ran before a restart, in a later incarnation than the present one: it once stayed for ever. */
     @Test
     void anEarlierIncarnationAfterARestartProvesTermination() {
--- a/src/test/java/org/spoolline/simulation/Controllers.java
+++ b/src/test/java/org/spoolline/simulation/Controllers.java
@@ -11,6 +11,7 @@
 import java.util.function.Consumer;
 import org.spoolline.Controller;
 import org.spoolline.config.Settings;
+import org.spoolline.metrics.Event;
 import org.spoolline.net.EventLoop;
 import org.spoolline.net.Http;
 
@@ -140,6 +141,17 @@
         processes.keySet().forEach(this::start);
     }
 
+    /** Restarts all controllers with settings that allow so many writes a second to the key-value store. */
+    public void limitWrites(int writesPerS) {
+        settings.limitWrites(writesPerS);
+        processes.keySet().forEach(this::start);
+    }
+
+    /** How often the present process of the controller has counted the event. */
+    long countOf(String name, Event event) {
+        return processes.get(name).controller().counters().of(event);
+    }
+
     /** From now on the scheduler given serves in place of every controller, to see an invariant violated. */
     public void replaceWith(Http.Handler scheduler) {
         replacement = Optional.of(scheduler);
--- /dev/null
+++ b/src/test/java/org/spoolline/simulation/QuotaAfterOutageTest.java
@@ -0,0 +1,77 @@
+package org.spoolline.simulation;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.spoolline.simulation.Workloads.NODES;
+import static org.spoolline.simulation.Workloads.leader;
+
+import java.util.List;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.spoolline.metrics.Event;
+
+/**
+ * A team near its limit, a backlog of gangs, few writes a second, and an outage of the key-value store that is longer than
+ * the workers' leases: the same leader goes on afterwards, with machines whose last answered heartbeat is older than a
+ * lease. See docs/incidents/quota-after-outage.md.
+ */
+class QuotaAfterOutageTest {
+    private static final double OUTAGE_S = 50;
+    private static final int WRITES_PER_S = 30;
+    private static final int TEAM_SCALE = 4;
+
+    /** More gangs than the team's limit of 64 cores holds at once, and arrays of the other team. */
+    private static void submitBacklog(Simulation simulation) {
+        for (int i = 0; i < 60; i++) {
+            int tasks = 3 + i % 4;
+            simulation.at(i * 200L, () -> {
+                simulation.users.submit(simulation.users.job("red", "group", tasks, 5, 25));
+                simulation.users.submit(simulation.users.job("blue", "batch", 12, 2, 25));
+            });
+        }
+    }
+
+    /** A deployment under load, as an outage begins. */
+    private static Simulation beginOutage(int seed) {
+        Simulation simulation = new Simulation(seed, TEAM_SCALE);
+        simulation.controllers.limitWrites(WRITES_PER_S);
+        simulation.run(3);
+        submitBacklog(simulation);
+        simulation.run(30 + simulation.random.nextInt(3_000) / 1_000.0);
+        assertTrue(simulation.invariants.starts() > 0, "expected tasks to start");
+        simulation.store.outage(OUTAGE_S);
+        return simulation;
+    }
+
+    private static void assertLimitHoldsAfterwards(Simulation simulation, int seed) {
+        int startsBefore = simulation.invariants.starts();
+        simulation.run(OUTAGE_S + 40);
+        assertTrue(simulation.invariants.starts() > startsBefore, "expected tasks to start after the outage");
+        assertEquals(List.of(), simulation.invariants.violations(), "seed " + seed);
+        assertEquals(0, countOnAll(simulation, Event.LAUNCH_OF_RELEASED_ATTEMPT), "seed " + seed);
+        assertEquals(0, countOnAll(simulation, Event.TEAM_OVER_LIMIT), "seed " + seed);
+    }
+
+    private static long countOnAll(Simulation simulation, Event event) {
+        return NODES.stream()
+                .mapToLong(node -> simulation.controllers.countOf(node, event))
+                .sum();
+    }
+
+    @ParameterizedTest
+    @MethodSource(Seeds.THREE_TIMES_AS_MANY)
+    void limitHoldsAfterOutageBeyondWorkerLease(int seed) {
+        assertLimitHoldsAfterwards(beginOutage(seed), seed);
+    }
+
+    /** The leader's view stays old for a moment: it hears the workers, but may not answer them yet. */
+    @ParameterizedTest
+    @MethodSource(Seeds.THREE_TIMES_AS_MANY)
+    void limitHoldsWhileTheFirstWatchesAfterAnOutageAreLost(int seed) {
+        Simulation simulation = beginOutage(seed);
+        String leader = leader(simulation);
+        double lostS = 1 + simulation.random.nextDouble() * 2;
+        simulation.at((long) (OUTAGE_S * 1_000), () -> simulation.store.loseWatchResponses(leader, lostS));
+        assertLimitHoldsAfterwards(simulation, seed);
+    }
+}
--- a/src/test/java/org/spoolline/simulation/SimulatedSettings.java
+++ b/src/test/java/org/spoolline/simulation/SimulatedSettings.java
@@ -12,6 +12,8 @@
     /** Limits of the key-value store that the settings announce, as TOML. */
     private String announcedLimits = "";
 
+    private int writesPerS = 60;
+
     /** Quotas and guarantees of the teams are {@code teamScale} times the usual ones. */
     SimulatedSettings(int teamScale, int storeRequestsPerS) {
         this.teamScale = teamScale;
@@ -23,6 +25,11 @@
                 + "\nwrite_rps = " + writesPerS + ".0\n";
     }
 
+    /** The rate limit of writes to the key-value store that the settings name from now on. */
+    void limitWrites(int limitPerS) {
+        writesPerS = limitPerS;
+    }
+
     /** The settings with which one of the controllers starts now. */
     Settings of(ControllerProcess process, Collection<ControllerProcess> all) {
         StringBuilder toml = new StringBuilder();
@@ -77,7 +84,7 @@
                 cancel_s = 46.0
                 [cluster.state]
                 rps = %4$d.0
-                write_rps = 60.0
+                write_rps = %6$d.0
                 value_kb = 8.0
                 txn_ops = 12
                 %5$s
@@ -89,6 +96,7 @@
                 ram_mb = 200.0
                 sockets = 1000
                 """
-                .formatted(32 * teamScale, 64 * teamScale, 16 * teamScale, storeRequestsPerS, announcedLimits);
+                .formatted(
+                        32 * teamScale, 64 * teamScale, 16 * teamScale, storeRequestsPerS, announcedLimits, writesPerS);
     }
 }
