TerminationProof: lease expiry says nothing about an incarnation first heard of later

Cause: lease expiry counted from the last answered heartbeat alone. An attempt placed on that incarnation counted as terminated before it was launched, and the next answer renewed the lease and launched it: a proof that lapses.

Change: for an attempt of the machine's present incarnation the expiry counts from the first heartbeat of that incarnation too.

--- a/src/main/java/org/spoolline/cluster/LastHeartbeat.java
+++ b/src/main/java/org/spoolline/cluster/LastHeartbeat.java
@@ -9,6 +9,7 @@
     private long receivedAt = -1;
     private String address = "";
     private long incarnation = -1;
+    private long incarnationFirstHeardAt = -1;
     private long number = -1;
     private long token = -1;
     private OptionalDouble interruptionNoticeS = OptionalDouble.empty();
@@ -28,6 +29,11 @@
         return incarnation;
     }
 
+    /** When the first heartbeat of its incarnation came, in ms of the loop's clock, or -1. */
+    long incarnationFirstHeardAt() {
+        return incarnationFirstHeardAt;
+    }
+
     long number() {
         return number;
     }
@@ -60,6 +66,9 @@
                 && interruptionNoticeS.isEmpty()
                 && heartbeat.interruptionNoticeS().isEmpty()
                 && listing.equals(tasks);
+        if (heartbeat.incarnation() != incarnation) {
+            incarnationFirstHeardAt = now;
+        }
         incarnation = heartbeat.incarnation();
         number = heartbeat.number();
         token = heartbeat.token();
--- a/src/main/java/org/spoolline/cluster/Machine.java
+++ b/src/main/java/org/spoolline/cluster/Machine.java
@@ -70,6 +70,11 @@
         return lastHeartbeat.incarnation();
     }
 
+    /** When the first heartbeat of that incarnation came under the present leadership, or -1. */
+    public long incarnationFirstHeardAt() {
+        return lastHeartbeat.incarnationFirstHeardAt();
+    }
+
     /** The number of the last heartbeat within its incarnation, or -1. */
     public long heartbeatNumber() {
         return lastHeartbeat.number();
--- a/src/main/java/org/spoolline/reconcile/TerminationProof.java
+++ b/src/main/java/org/spoolline/reconcile/TerminationProof.java
@@ -17,7 +17,8 @@
  *   <li>it shows such a token, is of the same incarnation, does not list the attempt, and no response to it or a later
  *       one ordered a launch;
  *   <li>the machine itself is terminated, as the cloud has confirmed;
- *   <li>lease expiry: nobody can have renewed the worker's lease for longer than the lease lasts.
+ *   <li>lease expiry: nobody can have renewed the lease of the attempt's incarnation for longer than the lease lasts, nor
+ *       has that incarnation been heard of for the first time since.
  * </ol>
  *
  * Everything else, such as a refused connection, proves nothing. An instance serves one leadership. It keeps no state of
@@ -100,14 +101,14 @@
      */
     public Assessment assess(String jobId, Attempt attempt, Machine machine, long now) {
         if (machine == null) {
-            return leaseExpired(null, now) ? LEASE_EXPIRED : UNKNOWN;
+            return leaseExpired(formerLeadersMayRenewUntil, now) ? LEASE_EXPIRED : UNKNOWN;
         }
         if (machine.terminated()) {
             return MACHINE_TERMINATED;
         }
         Assessment reported = fromLastHeartbeat(jobId, attempt, machine);
         boolean ended = reported.state() == AttemptState.EXITED || reported.state() == AttemptState.TERMINATED;
-        return !ended && leaseExpired(machine, now) ? LEASE_EXPIRED : reported;
+        return !ended && leaseExpired(lastRenewal(attempt, machine), now) ? LEASE_EXPIRED : reported;
     }
 
     /**
@@ -133,13 +134,19 @@
     }
 
     /**
-     * Proof 5: the machine's lease has expired, since neither this leader nor a former one can have renewed it for too
-     * long.
-     *
-     * @param machine the machine, or null when the leader has not heard of it
+     * The latest moment at which the lease of the attempt's incarnation can have been renewed, or have begun. An incarnation
+     * that is heard of for the first time has just begun, as far as is known: a worker counts the next one when a lease
+     * expires, however long ago it was last answered. The answer to its heartbeat would renew that lease, so until then the
+     * expiry of the lease before proves nothing about an attempt that was placed on it.
      */
-    private boolean leaseExpired(Machine machine, long now) {
-        long renewedAt = machine == null ? -1 : machine.lastResponseAt();
-        return now > Math.max(renewedAt, formerLeadersMayRenewUntil) + leaseExpiryMs;
+    private long lastRenewal(Attempt attempt, Machine machine) {
+        long renewedAt = Math.max(machine.lastResponseAt(), formerLeadersMayRenewUntil);
+        boolean present = machine.incarnation() == attempt.incarnation();
+        return present ? Math.max(renewedAt, machine.incarnationFirstHeardAt()) : renewedAt;
+    }
+
+    /** Proof 5: the lease has expired, since neither this leader nor a former one can have renewed it for too long. */
+    private boolean leaseExpired(long renewedAt, long now) {
+        return now > renewedAt + leaseExpiryMs;
     }
 }
