--- a/src/test/java/org/spoolline/simulation/FakeWorker.java
+++ b/src/test/java/org/spoolline/simulation/FakeWorker.java
@@ -92,6 +92,11 @@
         return simulation.controllers.names().get(targetIndex);
     }
 
+    /** The incarnation that its heartbeats show. */
+    long incarnation() {
+        return incarnation;
+    }
+
     boolean isDown() {
         return down;
     }
--- /dev/null
+++ b/src/test/java/org/spoolline/simulation/ReleasedAttemptsTest.java
@@ -0,0 +1,115 @@
+package org.spoolline.simulation;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.spoolline.simulation.Workloads.NODES;
+import static org.spoolline.simulation.Workloads.leader;
+
+import java.util.List;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.spoolline.metrics.Event;
+import org.spoolline.pipeline.Attempt;
+import org.spoolline.pipeline.Pipeline;
+import org.spoolline.pipeline.SubmissionCodec;
+
+/**
+ * Attempts that a leader has decided to have ended count as free from then on, while they are still stored. Neither that
+ * leader nor the next one may launch them beside what took their place.
+ */
+class ReleasedAttemptsTest {
+    private static final int SCARCE_WRITES_PER_S = 12;
+    private static final int TEAM_SCALE = 4;
+
+    /** Arrays that save checkpoints, and critical gangs that preempt them. */
+    private static void submitCompetingJobs(Simulation simulation) {
+        for (int i = 0; i < 50; i++) {
+            int tasks = 2 + i % 3;
+            simulation.at(i * 1_500L, () -> {
+                simulation.users.submit(array(simulation, "red", 10, 2, 12));
+                simulation.users.submit(array(simulation, "blue", 12, 1, 8));
+            });
+            simulation.at(i * 1_500L + 700, () -> {
+                String team = tasks == 2 ? "red" : "blue";
+                simulation.users.submit(
+                        simulation.users.job(team, "group", tasks, 5, 8).with("urgency", "critical"));
+            });
+        }
+    }
+
+    private static SimulatedJob array(Simulation simulation, String team, int tasks, double cores, double runS) {
+        return simulation
+                .users
+                .job(team, "batch", tasks, cores, runS)
+                .with("bookmarkS", 4.0)
+                .with("stashS", 1.0);
+    }
+
+    /** Tasks are preempted before their launch, and the write that records it waits for the write budget. */
+    @ParameterizedTest
+    @MethodSource(Seeds.TWICE_AS_MANY)
+    void preemptedAttemptsWhoseReleaseIsDeferredAreNotLaunched(int seed) {
+        Simulation simulation = new Simulation(seed, TEAM_SCALE);
+        simulation.controllers.limitWrites(SCARCE_WRITES_PER_S);
+        simulation.cloud.capacity = 2;
+        simulation.run(3);
+        submitCompetingJobs(simulation);
+        simulation.run(130);
+        assertTrue(countOnAll(simulation, Event.ATTEMPT_RELEASED) > 0, "expected attempts to end");
+        assertTrue(countOnAll(simulation, Event.WRITE_DEFERRED) > 0, "expected writes to be deferred");
+        assertEquals(List.of(), simulation.invariants.violations(), "seed " + seed);
+        assertEquals(0, countOnAll(simulation, Event.LAUNCH_OF_RELEASED_ATTEMPT), "seed " + seed);
+    }
+
+    private static long countOnAll(Simulation simulation, Event event) {
+        return NODES.stream()
+                .mapToLong(node -> simulation.controllers.countOf(node, event))
+                .sum();
+    }
+
+    /**
+     * A leader has stored attempts in place of others and ended before it has stored the end of those: together they exceed
+     * the team's limit of 32 cores. All of them are on idle machines and not launched yet.
+     */
+    @ParameterizedTest
+    @MethodSource(Seeds.TWICE_AS_MANY)
+    void newLeaderLaunchesNothingBeyondTheLimit(int seed) {
+        Simulation simulation = new Simulation(seed);
+        simulation.run(3);
+        simulation.users.submit(simulation.users.job("blue", "batch", 8, 7, 12));
+        simulation.run(30);
+        List<FakeWorker> idle = simulation.workers().values().stream()
+                .filter(worker -> worker.isSchedulable() && worker.tasks().isEmpty())
+                .toList();
+        assertTrue(idle.size() >= 8, "expected idle machines, found " + idle.size());
+        simulation.controllers.crashFor(leader(simulation), 8);
+        SimulatedJob released = storeWithAttempts(simulation, idle.subList(0, 4));
+        SimulatedJob placedInstead = storeWithAttempts(simulation, idle.subList(4, 8));
+        simulation.run(20);
+        assertTrue(countOnAll(simulation, Event.LAUNCH_ORDERED) > 0, "expected the new leader to launch");
+        simulation.run(150);
+        assertEquals(List.of(), simulation.invariants.violations(), "seed " + seed);
+        assertEquals("done", released.status(), "seed " + seed);
+        assertEquals("done", placedInstead.status(), "seed " + seed);
+    }
+
+    /** Stores an accepted job of the red team with an attempt on each of the machines, and lets its user ask for it. */
+    private static SimulatedJob storeWithAttempts(Simulation simulation, List<FakeWorker> machines) {
+        SimulatedJob job = simulation.users.job("red", "batch", machines.size(), 7, 15);
+        Pipeline pipeline = accept(job, simulation.now());
+        for (int task = 0; task < machines.size(); task++) {
+            FakeWorker machine = machines.get(task);
+            pipeline.addAttempt(new Attempt(task, pipeline.nextAttemptNumber(), machine.name, machine.incarnation()));
+        }
+        simulation.store.put("job/" + job.jobId(), pipeline.encode());
+        return simulation.users.submit(job);
+    }
+
+    private static Pipeline accept(SimulatedJob job, long now) {
+        try {
+            return Pipeline.accept(SubmissionCodec.parse(job.body()), job.body(), Simulation.START_OF_DAY + now);
+        } catch (SubmissionCodec.Malformed e) {
+            throw new AssertionError(e);
+        }
+    }
+}
