A release is final: what a leader has decided to have ended is not launched again

Cause: a check in one path and not in another, on knowledge that is not stored. The plan gives the capacity of ended attempts to others at once; the launch path asked only what is stored. Where the decision was not repeated (a lapsed proof, a withdrawn stop request) or not known (a new leader), an attempt was launched beside what took its place.

Change: JobTable notes releases until they are stored; OrderPlanner launches and keeps only attempts that are held, and launches only while the team's stored and unreleased attempts fit its limit; AttemptReconciler repeats a release in each further value, and gives up attempts on no machine while a team is over its limit.

--- a/src/main/java/org/spoolline/job/JobTable.java
+++ b/src/main/java/org/spoolline/job/JobTable.java
@@ -58,9 +58,14 @@
             return proposed;
         }
 
-        /** True when the attempt is stored and no write in flight removes it. */
+        /**
+         * True when the attempt is stored, no write in flight removes it, and its end is not decided. Only such an attempt
+         * may be launched or run on.
+         */
         public boolean holdsAttempt(Attempt attempt) {
-            return committed.hasAttempt(attempt) && (proposed == null || proposed.hasAttempt(attempt));
+            return committed.hasAttempt(attempt)
+                    && (proposed == null || proposed.hasAttempt(attempt))
+                    && !isReleased(attempt);
         }
 
         /** True for a committed attempt whose end is decided, though perhaps not stored. */
@@ -135,8 +140,9 @@
     }
 
     /**
-     * Records which committed attempts have ended, as this leader has decided: those that {@code next} lacks. The decision
-     * lasts until a value without them is committed.
+     * Records which committed attempts have ended, as this leader has decided: those that {@code next} lacks. Their capacity
+     * is free from now on, so the decision is final for this term: whatever is learnt later they are not launched, and every
+     * further value that this leader proposes lacks them too.
      *
      * @return how many of them were not released before
      */
--- a/src/main/java/org/spoolline/metrics/Event.java
+++ b/src/main/java/org/spoolline/metrics/Event.java
@@ -29,6 +29,12 @@
     LAUNCH_WITHHELD_STALE_VIEW,
     /** A gang's launch waits for members that still fetch their image. */
     LAUNCH_WITHHELD_GANG_FETCHING,
+    /** A launch waits because the team's stored attempts exceed its limit. */
+    LAUNCH_WITHHELD_TEAM_LIMIT,
+    /** A heartbeat lists an attempt as not exited that the leader has decided to have ended; it is stopped. */
+    HEARTBEAT_LISTED_RELEASED_ATTEMPT,
+    /** A heartbeat lists the rejected launch of an attempt that is not stored; it is cleared. */
+    REJECTED_LAUNCH_NOT_STORED,
     /** The stop of a task was ordered. */
     STOP_ORDERED,
 
--- a/src/main/java/org/spoolline/reconcile/AttemptReconciler.java
+++ b/src/main/java/org/spoolline/reconcile/AttemptReconciler.java
@@ -98,22 +98,23 @@
      * Steps a job by what is proven about some of its attempts. Exception boundary: a job that can't be reconciled must
      * not stop the cycles for all others, so it is logged and left as it is.
      *
+     * @param earlier what earlier cycles have decided about the job and its team
      * @return the job's next value; empty when nothing changes
      */
-    public Optional<Pipeline> tryReconcile(Pipeline committed, Collection<Attempt> due) {
+    public Optional<Pipeline> tryReconcile(Pipeline committed, Collection<Attempt> due, EarlierDecisions earlier) {
         try {
-            return reconcile(committed, due);
+            return reconcile(committed, due, earlier);
         } catch (RuntimeException e) {
             LOG.error("Reconciliation failed: job={}", committed.jobId(), e);
             return Optional.empty();
         }
     }
 
-    private Optional<Pipeline> reconcile(Pipeline committed, Collection<Attempt> due) {
+    private Optional<Pipeline> reconcile(Pipeline committed, Collection<Attempt> due, EarlierDecisions earlier) {
         stops.withdraw(committed.jobId());
         reservations.requestStops(committed.jobId(), stops);
         DraftPipeline draft = new DraftPipeline(committed);
-        reconcileAttempts(draft, due);
+        reconcileAttempts(draft, due, earlier);
         Pipeline current = draft.current();
         if (current.spec().gang() && !current.succeeded() && !current.attempts().isEmpty()) {
             gangs.reconcile(draft, terminationProof);
@@ -124,22 +125,28 @@
         return draft.result();
     }
 
-    private void reconcileAttempts(DraftPipeline draft, Collection<Attempt> due) {
+    private void reconcileAttempts(DraftPipeline draft, Collection<Attempt> due, EarlierDecisions earlier) {
         LostAttemptsLog lost = new LostAttemptsLog(draft.committed().jobId(), loop.now());
         for (Attempt attempt : due) {
             if (draft.committed().hasAttempt(attempt)) {
-                reconcileAttempt(draft, attempt, lost);
+                reconcileAttempt(draft, attempt, earlier, lost);
             }
         }
         lost.write();
     }
 
-    private void reconcileAttempt(DraftPipeline draft, Attempt attempt, LostAttemptsLog lost) {
+    private void reconcileAttempt(
+            DraftPipeline draft, Attempt attempt, EarlierDecisions earlier, LostAttemptsLog lost) {
         Pipeline committed = draft.committed();
         String jobId = committed.jobId();
         Machine machine = machines.get(attempt.machine());
         TerminationProof.Assessment assessment = terminationProof.assess(jobId, attempt, machine, loop.now());
+        if (earlier.isReleased(attempt) && assessment.state() != TerminationProof.AttemptState.EXITED) {
+            draft.forChange().loseAttempt(attempt);
+            return;
+        }
         boolean toStop = committed.cancelled()
+                || earlier.teamOverLimit()
                 || stopForEviction(committed, attempt, machine)
                 || stops.contains(AttemptId.of(jobId, attempt));
         switch (assessment.state()) {
--- a/src/main/java/org/spoolline/scheduler/JobStepper.java
+++ b/src/main/java/org/spoolline/scheduler/JobStepper.java
@@ -4,30 +4,34 @@
 import java.util.Optional;
 import org.spoolline.config.Constants;
 import org.spoolline.job.JobTable;
+import org.spoolline.job.TeamQuotas;
 import org.spoolline.metrics.Counters;
 import org.spoolline.metrics.Event;
 import org.spoolline.net.EventLoop;
 import org.spoolline.pipeline.Attempt;
 import org.spoolline.pipeline.Pipeline;
 import org.spoolline.reconcile.AttemptReconciler;
+import org.spoolline.reconcile.EarlierDecisions;
 
 /** The part of a scheduling cycle that steps each job by its dependencies and by what is proven about its attempts. */
 final class JobStepper {
     private final EventLoop loop;
     private final JobTable jobs;
+    private final TeamQuotas quotas;
     private final DependencyTracker dependencies;
     private final AttemptReconciler reconciler;
     private final DirtyAttempts dirtyAttempts;
     private final Counters counters;
     private long lastFullReconcileAt;
 
-    JobStepper(EventLoop loop, JobTable jobs, TermState termState, Counters counters) {
-        this.loop = loop;
-        this.jobs = jobs;
+    JobStepper(SchedulerContext context, TermState termState) {
+        this.loop = context.loop();
+        this.jobs = context.jobs();
+        this.quotas = new TeamQuotas(context.settings(), jobs);
+        this.counters = context.counters();
         this.dependencies = termState.dependencies();
         this.reconciler = termState.reconciler();
         this.dirtyAttempts = termState.dirtyAttempts();
-        this.counters = counters;
     }
 
     /** Begins a term: the first full reconciliation is due one interval from now. */
@@ -79,7 +83,8 @@
         Collection<Attempt> due =
                 fullReconcile || needsFullReconcile(entry) ? committed.attempts() : dirtyAttempts.get(jobId);
         boolean unaffected = due.isEmpty() && !committed.cancelled();
-        Optional<Pipeline> next = unaffected ? Optional.empty() : reconciler.tryReconcile(committed, due);
+        Optional<Pipeline> next =
+                unaffected ? Optional.empty() : reconciler.tryReconcile(committed, due, earlierDecisions(entry));
         state.addJob(next.orElse(committed));
         if (next.isPresent()) {
             counters.count(Event.ATTEMPT_RELEASED, jobs.release(entry, next.get()));
@@ -90,6 +95,20 @@
         }
     }
 
+    private EarlierDecisions earlierDecisions(JobTable.Entry entry) {
+        return new EarlierDecisions() {
+            @Override
+            public boolean isReleased(Attempt attempt) {
+                return entry.isReleased(attempt);
+            }
+
+            @Override
+            public boolean teamOverLimit() {
+                return quotas.exceeded(entry.committed().spec().team());
+            }
+        };
+    }
+
     /** A gang and a job with attempts to be stopped depend on more than the status of single attempts. */
     private boolean needsFullReconcile(JobTable.Entry entry) {
         return entry.committed().spec().gang()
--- a/src/main/java/org/spoolline/scheduler/SchedulingCycle.java
+++ b/src/main/java/org/spoolline/scheduler/SchedulingCycle.java
@@ -19,7 +19,7 @@
 
     SchedulingCycle(SchedulerContext context, TermState termState, PipelineWriter writer, Autoscaler autoscaler) {
         this.termState = termState;
-        this.stepper = new JobStepper(context.loop(), context.jobs(), termState, context.counters());
+        this.stepper = new JobStepper(context, termState);
         this.evictions = new MachineEvictions(context.loop(), context.machines(), termState);
         this.launches = new LaunchPreparer(context, termState.gangLaunches(), termState.images());
         this.planner = new CyclePlanner(
--- a/src/main/java/org/spoolline/worker/HeartbeatService.java
+++ b/src/main/java/org/spoolline/worker/HeartbeatService.java
@@ -68,8 +68,9 @@
         this.machines = machines;
         this.onChange = onChange;
         this.counters = counters;
-        planner = new OrderPlanner(jobs, desiredState, counters);
-        LaunchLog launchLog = new LaunchLog(jobs, new TeamQuotas(settings, jobs), counters);
+        TeamQuotas quotas = new TeamQuotas(settings, jobs);
+        planner = new OrderPlanner(jobs, quotas, desiredState, counters);
+        LaunchLog launchLog = new LaunchLog(jobs, quotas, counters);
         responder = new HeartbeatResponder(loop, election, staleness, planner, launchLog, counters);
         heldResponses = new HeldResponses(loop, staleness, planner, responder);
         earlyHeartbeats = new EarlyHeartbeatRequests(loop, http, settings, election, machines, heldResponses);
--- a/src/main/java/org/spoolline/worker/OrderPlanner.java
+++ b/src/main/java/org/spoolline/worker/OrderPlanner.java
@@ -8,6 +8,7 @@
 import org.spoolline.cluster.TaskStatus;
 import org.spoolline.config.Constants;
 import org.spoolline.job.JobTable;
+import org.spoolline.job.TeamQuotas;
 import org.spoolline.metrics.Counters;
 import org.spoolline.metrics.Event;
 import org.spoolline.pipeline.Attempt;
@@ -16,16 +17,18 @@
 
 /**
  * Computes the orders for a machine: the difference between the attempts that are stored for its incarnation and the
- * tasks that its last heartbeat lists. It keeps no state and records nothing but withheld launches; whoever sends the
- * orders records them. Runs once per heartbeat, so it uses plain loops.
+ * tasks that its last heartbeat lists. It keeps no state and counts only what is not ordered; whoever sends the orders
+ * records them. Runs once per heartbeat, so it uses plain loops.
  */
 final class OrderPlanner {
     private final JobTable jobs;
+    private final TeamQuotas quotas;
     private final DesiredState desiredState;
     private final Counters counters;
 
-    OrderPlanner(JobTable jobs, DesiredState desiredState, Counters counters) {
+    OrderPlanner(JobTable jobs, TeamQuotas quotas, DesiredState desiredState, Counters counters) {
         this.jobs = jobs;
+        this.quotas = quotas;
         this.desiredState = desiredState;
         this.counters = counters;
     }
@@ -54,11 +57,11 @@
         return orders;
     }
 
-    /** True when an attempt is stored for the machine's incarnation that its last heartbeat does not list. */
+    /** True when an attempt is to run in the machine's incarnation that its last heartbeat does not list. */
     boolean hasUnlistedAttempt(Machine machine) {
         for (Map.Entry<AttemptId, Attempt> entry :
                 jobs.attemptsOn(machine.name()).entrySet()) {
-            if (isUnlisted(machine, entry.getKey(), entry.getValue())) {
+            if (isUnlisted(machine, entry.getKey(), entry.getValue()) && isHeld(entry.getKey(), entry.getValue())) {
                 return true;
             }
         }
@@ -84,10 +87,14 @@
             boolean isStored = attempt != null && attempt.incarnation() == machine.incarnation();
             if (phase == TaskStatus.Phase.EXITED) {
                 if (!isStored) {
+                    countIfRejected(listed.getValue());
                     orders.add(new Order.Clear(attemptId));
                 }
                 continue;
             }
+            if (isStored && !isHeld(attemptId, attempt)) {
+                counters.count(Event.HEARTBEAT_LISTED_RELEASED_ATTEMPT);
+            }
             OptionalDouble graceS = isStored ? stopGraceS(attemptId, attempt) : OptionalDouble.of(0);
             if (graceS.isPresent() && !isStoppingGracefully(phase, graceS.getAsDouble())) {
                 orders.add(new Order.Stop(attemptId, graceS.getAsDouble()));
@@ -106,6 +113,7 @@
                     && isUnlisted(machine, attemptId, entry.getValue())
                     && stopGraceS(attemptId, entry.getValue()).isEmpty()
                     && mayLaunch(attemptId)
+                    && isWithinTeamLimit(attemptId)
                     && !runsOtherAttempt(machine, attemptId)) {
                 orders.add(new Order.Launch(attemptId));
             }
@@ -125,6 +133,32 @@
         return may;
     }
 
+    /**
+     * True while all that the team's attempts take is within its limit, whichever of them run. A leader's own placements keep
+     * that; what it finds stored may not, if the one before ended between two writes.
+     */
+    private boolean isWithinTeamLimit(AttemptId attemptId) {
+        boolean within =
+                !quotas.exceeded(jobs.get(attemptId.jobId()).committed().spec().team());
+        if (!within) {
+            counters.count(Event.LAUNCH_WITHHELD_TEAM_LIMIT);
+        }
+        return within;
+    }
+
+    /** A launch was rejected of an attempt that is no longer stored: nothing is left to be done but to clear it. */
+    private void countIfRejected(TaskStatus status) {
+        switch (status.exitReason()) {
+            case INSUFFICIENT_CAPACITY, ALREADY_RUNNING, UNKNOWN -> counters.count(Event.REJECTED_LAUNCH_NOT_STORED);
+            default -> {}
+        }
+    }
+
+    private boolean isHeld(AttemptId attemptId, Attempt attempt) {
+        JobTable.Entry job = jobs.get(attemptId.jobId());
+        return job != null && job.holdsAttempt(attempt);
+    }
+
     /** The grace in seconds with which a stored attempt is to be stopped; empty when it is to run on. */
     private OptionalDouble stopGraceS(AttemptId attemptId, Attempt attempt) {
         JobTable.Entry job = jobs.get(attemptId.jobId());
