JobEntry in a file of its own; one sample submission for the tests; plainer names

Change: moves and renames only (JobTable.Entry -> JobEntry, incarnationSince, teamExceedsQuota, counter team_exceeds_quota). No behaviour.

--- a/src/main/java/org/spoolline/cluster/LastHeartbeat.java
+++ b/src/main/java/org/spoolline/cluster/LastHeartbeat.java
@@ -9,7 +9,7 @@
     private long receivedAt = -1;
     private String address = "";
     private long incarnation = -1;
-    private long incarnationFirstHeardAt = -1;
+    private long incarnationSince = -1;
     private long number = -1;
     private long token = -1;
     private OptionalDouble interruptionNoticeS = OptionalDouble.empty();
@@ -30,8 +30,8 @@
     }
 
     /** When the first heartbeat of its incarnation came, in ms of the loop's clock, or -1. */
-    long incarnationFirstHeardAt() {
-        return incarnationFirstHeardAt;
+    long incarnationSince() {
+        return incarnationSince;
     }
 
     long number() {
@@ -67,7 +67,7 @@
                 && heartbeat.interruptionNoticeS().isEmpty()
                 && listing.equals(tasks);
         if (heartbeat.incarnation() != incarnation) {
-            incarnationFirstHeardAt = now;
+            incarnationSince = now;
         }
         incarnation = heartbeat.incarnation();
         number = heartbeat.number();
--- a/src/main/java/org/spoolline/cluster/Machine.java
+++ b/src/main/java/org/spoolline/cluster/Machine.java
@@ -71,8 +71,8 @@
     }
 
     /** When the first heartbeat of that incarnation came under the present leadership, or -1. */
-    public long incarnationFirstHeardAt() {
-        return lastHeartbeat.incarnationFirstHeardAt();
+    public long incarnationSince() {
+        return lastHeartbeat.incarnationSince();
     }
 
     /** The number of the last heartbeat within its incarnation, or -1. */
--- a/src/main/java/org/spoolline/metrics/Event.java
+++ b/src/main/java/org/spoolline/metrics/Event.java
@@ -53,7 +53,7 @@
     /** The end of an attempt was decided; its capacity counts as free. */
     ATTEMPT_RELEASED,
     /** The heartbeats of the leader's machines show a team over its limit: never to happen. */
-    TEAM_OVER_LIMIT,
+    TEAM_EXCEEDS_QUOTA,
     /** A cycle left a write for a later one, since the write budget or the transactions in flight were used up. */
     WRITE_DEFERRED,
     /** A write was not stored, by a refusal or a conflict; it is decided anew. */
--- a/src/main/java/org/spoolline/reconcile/AttemptReconciler.java
+++ b/src/main/java/org/spoolline/reconcile/AttemptReconciler.java
@@ -146,7 +146,7 @@
             return;
         }
         boolean toStop = committed.cancelled()
-                || earlier.teamOverLimit()
+                || earlier.teamExceedsQuota()
                 || stopForEviction(committed, attempt, machine)
                 || stops.contains(AttemptId.of(jobId, attempt));
         switch (assessment.state()) {
--- a/src/main/java/org/spoolline/reconcile/EarlierDecisions.java
+++ b/src/main/java/org/spoolline/reconcile/EarlierDecisions.java
@@ -14,5 +14,5 @@
      * True while the stored attempts of the job's team that are not released exceed the team's limit. That happens under a
      * new leader only, whose predecessor stored attempts in place of others but not the end of those, or with lower limits.
      */
-    boolean teamOverLimit();
+    boolean teamExceedsQuota();
 }
--- a/src/main/java/org/spoolline/reconcile/TerminationProof.java
+++ b/src/main/java/org/spoolline/reconcile/TerminationProof.java
@@ -142,7 +142,7 @@
     private long lastRenewal(Attempt attempt, Machine machine) {
         long renewedAt = Math.max(machine.lastResponseAt(), formerLeadersMayRenewUntil);
         boolean present = machine.incarnation() == attempt.incarnation();
-        return present ? Math.max(renewedAt, machine.incarnationFirstHeardAt()) : renewedAt;
+        return present ? Math.max(renewedAt, machine.incarnationSince()) : renewedAt;
     }
 
     /** Proof 5: the lease has expired, since neither this leader nor a former one can have renewed it for too long. */
--- a/src/main/java/org/spoolline/scheduler/CapacityScaler.java
+++ b/src/main/java/org/spoolline/scheduler/CapacityScaler.java
@@ -3,6 +3,7 @@
 import java.util.HashSet;
 import java.util.Set;
 import org.spoolline.autoscaler.Autoscaler;
+import org.spoolline.job.JobEntry;
 import org.spoolline.job.JobTable;
 import org.spoolline.net.EventLoop;
 
@@ -33,7 +34,7 @@
 
     private Set<String> machinesOfProposedAttempts() {
         Set<String> names = new HashSet<>();
-        for (JobTable.Entry entry : jobs.entries()) {
+        for (JobEntry entry : jobs.entries()) {
             if (entry.inFlight()) {
                 entry.proposed().attempts().forEach(attempt -> names.add(attempt.machine()));
             }
--- a/src/main/java/org/spoolline/scheduler/ClusterSnapshotBuilder.java
+++ b/src/main/java/org/spoolline/scheduler/ClusterSnapshotBuilder.java
@@ -10,6 +10,7 @@
 import org.spoolline.cluster.MachineTypeCatalog;
 import org.spoolline.cluster.TaskStatus;
 import org.spoolline.config.Settings;
+import org.spoolline.job.JobEntry;
 import org.spoolline.job.JobTable;
 import org.spoolline.net.EventLoop;
 import org.spoolline.pipeline.Attempt;
@@ -50,7 +51,7 @@
         Set<String> placeable = new HashSet<>();
         for (Map.Entry<String, Pipeline> working : workingJobs.entrySet()) {
             String jobId = working.getKey();
-            JobTable.Entry entry = jobs.get(jobId);
+            JobEntry entry = jobs.get(jobId);
             if (entry.inFlight()) {
                 holding.put(jobId, committedAndProposedAttempts(entry));
             } else if (canTakeTasks(working.getValue()) && !fullJobs.isPaused(jobId)) {
@@ -74,7 +75,7 @@
     }
 
     /** While a write is in flight either value may be the stored one, so the attempts of both occupy capacity. */
-    private static List<Attempt> committedAndProposedAttempts(JobTable.Entry entry) {
+    private static List<Attempt> committedAndProposedAttempts(JobEntry entry) {
         Set<Attempt> union = new HashSet<>(entry.committed().attempts());
         union.addAll(entry.proposed().attempts());
         return List.copyOf(union);
--- a/src/main/java/org/spoolline/scheduler/CommitListener.java
+++ b/src/main/java/org/spoolline/scheduler/CommitListener.java
@@ -2,6 +2,7 @@
 
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.spoolline.job.JobEntry;
 import org.spoolline.job.JobTable;
 import org.spoolline.job.TerminalRecord;
 import org.spoolline.pipeline.Attempt;
@@ -52,7 +53,7 @@
 
     /** What was decided is not stored, so all of the job's attempts are to be reconciled again. */
     @Override
-    public void abandoned(JobTable.Entry entry) {
+    public void abandoned(JobEntry entry) {
         termState
                 .dirtyAttempts()
                 .mark(entry.committed().jobId(), entry.committed().attempts());
--- a/src/main/java/org/spoolline/scheduler/CycleState.java
+++ b/src/main/java/org/spoolline/scheduler/CycleState.java
@@ -2,7 +2,7 @@
 
 import java.util.LinkedHashMap;
 import java.util.Map;
-import org.spoolline.job.JobTable;
+import org.spoolline.job.JobEntry;
 import org.spoolline.pipeline.Pipeline;
 
 /** What one scheduling cycle works on: the jobs that take part in the plan, and the values to be written. */
@@ -18,7 +18,7 @@
     }
 
     /** Records that the job's value is to be replaced by {@code next}. */
-    void addWrite(JobTable.Entry entry, Pipeline next) {
+    void addWrite(JobEntry entry, Pipeline next) {
         pendingWrites.put(next.jobId(), new PendingWrite(entry, next));
     }
 
--- a/src/main/java/org/spoolline/scheduler/DependencyTracker.java
+++ b/src/main/java/org/spoolline/scheduler/DependencyTracker.java
@@ -12,6 +12,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.spoolline.config.Constants;
+import org.spoolline.job.JobEntry;
 import org.spoolline.job.JobKeys;
 import org.spoolline.job.JobTable;
 import org.spoolline.job.TerminalRecord;
@@ -82,8 +83,8 @@
         dependents.clear();
         verdicts.clear();
         inherited.clear();
-        List<JobTable.Entry> waiting = new ArrayList<>();
-        for (JobTable.Entry entry : jobs.entries()) {
+        List<JobEntry> waiting = new ArrayList<>();
+        for (JobEntry entry : jobs.entries()) {
             if (entry.committed().hasUnsatisfiedDependencies()) {
                 waiting.add(entry);
                 for (String dependency : entry.committed().spec().dependencies()) {
@@ -98,7 +99,7 @@
             return;
         }
         cancelDependents();
-        for (JobTable.Entry entry : waiting) {
+        for (JobEntry entry : waiting) {
             if (verdictOf(entry.committed()) == Verdict.UNSATISFIED && allDependenciesDone(entry.committed())) {
                 verdicts.put(entry.committed().jobId(), Verdict.SATISFIED);
             }
@@ -154,7 +155,7 @@
     }
 
     private boolean isCancelled(String jobId) {
-        JobTable.Entry live = jobs.get(jobId);
+        JobEntry live = jobs.get(jobId);
         if (live != null) {
             return live.cancelled() || verdicts.get(jobId) == Verdict.CANCELLED;
         }
@@ -204,9 +205,9 @@
     }
 
     /** Passes priorities on to dependencies, from the highest priority down so that each job is visited once. */
-    private void inheritPriorities(List<JobTable.Entry> waiting) {
+    private void inheritPriorities(List<JobEntry> waiting) {
         List<Pipeline> byPriority = new ArrayList<>();
-        for (JobTable.Entry entry : waiting) {
+        for (JobEntry entry : waiting) {
             if (!entry.cancelled() && verdictOf(entry.committed()) != Verdict.CANCELLED) {
                 byPriority.add(entry.committed());
             }
@@ -217,7 +218,7 @@
             Deque<String> inheriting = new ArrayDeque<>(dependent.spec().dependencies());
             while (!inheriting.isEmpty()) {
                 String jobId = inheriting.remove();
-                JobTable.Entry live = jobs.get(jobId);
+                JobEntry live = jobs.get(jobId);
                 if (live != null
                         && inherited.putIfAbsent(jobId, dependent.spec().priority()) == null) {
                     inheriting.addAll(live.committed().spec().dependencies());
--- a/src/main/java/org/spoolline/scheduler/GangLaunchOrder.java
+++ b/src/main/java/org/spoolline/scheduler/GangLaunchOrder.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.Set;
 import org.spoolline.cluster.TaskStatus;
+import org.spoolline.job.JobEntry;
 import org.spoolline.job.JobTable;
 import org.spoolline.pipeline.Attempt;
 import org.spoolline.pipeline.AttemptId;
@@ -45,11 +46,11 @@
         if (withImage == null || !withImage.contains(attemptId)) {
             return true;
         }
-        JobTable.Entry entry = jobs.get(attemptId.jobId());
+        JobEntry entry = jobs.get(attemptId.jobId());
         return entry == null || !anyFetchesImage(entry, withImage);
     }
 
-    private boolean anyFetchesImage(JobTable.Entry gang, Set<AttemptId> withImage) {
+    private boolean anyFetchesImage(JobEntry gang, Set<AttemptId> withImage) {
         String jobId = gang.committed().jobId();
         for (Attempt attempt : gang.committed().attempts()) {
             if (!withImage.contains(AttemptId.of(jobId, attempt))
--- a/src/main/java/org/spoolline/scheduler/ImageTracker.java
+++ b/src/main/java/org/spoolline/scheduler/ImageTracker.java
@@ -4,6 +4,7 @@
 import org.spoolline.cluster.MachineType;
 import org.spoolline.cluster.MachineTypeCatalog;
 import org.spoolline.cluster.TaskStatus;
+import org.spoolline.job.JobEntry;
 import org.spoolline.job.JobTable;
 import org.spoolline.pipeline.AttemptId;
 import org.spoolline.pipeline.Submission;
@@ -24,7 +25,7 @@
      */
     void learn(Machine machine, AttemptId attemptId) {
         TaskStatus status = machine.tasks().get(attemptId);
-        JobTable.Entry entry = jobs.get(attemptId.jobId());
+        JobEntry entry = jobs.get(attemptId.jobId());
         if (status == null || entry == null || !holdsImage(status)) {
             return;
         }
--- a/src/main/java/org/spoolline/scheduler/JobStepper.java
+++ b/src/main/java/org/spoolline/scheduler/JobStepper.java
@@ -3,6 +3,7 @@
 import java.util.Collection;
 import java.util.Optional;
 import org.spoolline.config.Constants;
+import org.spoolline.job.JobEntry;
 import org.spoolline.job.JobTable;
 import org.spoolline.job.TeamQuotas;
 import org.spoolline.metrics.Counters;
@@ -43,7 +44,7 @@
     CycleState stepAll() {
         boolean fullReconcile = startFullReconcileIfDue();
         CycleState state = new CycleState();
-        for (JobTable.Entry entry : jobs.entries()) {
+        for (JobEntry entry : jobs.entries()) {
             step(entry, fullReconcile, state);
         }
         return state;
@@ -58,7 +59,7 @@
         return due;
     }
 
-    private void step(JobTable.Entry entry, boolean fullReconcile, CycleState state) {
+    private void step(JobEntry entry, boolean fullReconcile, CycleState state) {
         if (entry.inFlight()) {
             state.addJob(entry.proposed());
         } else if (entry.committed().hasUnsatisfiedDependencies() && !entry.cancelled()) {
@@ -68,7 +69,7 @@
         }
     }
 
-    private void stepByDependencies(JobTable.Entry entry, CycleState state) {
+    private void stepByDependencies(JobEntry entry, CycleState state) {
         if (dependencies.verdictOf(entry.committed()) == DependencyTracker.Verdict.UNSATISFIED) {
             return;
         }
@@ -77,7 +78,7 @@
         state.addWrite(entry, next);
     }
 
-    private void reconcile(JobTable.Entry entry, boolean fullReconcile, CycleState state) {
+    private void reconcile(JobEntry entry, boolean fullReconcile, CycleState state) {
         Pipeline committed = entry.committed();
         String jobId = committed.jobId();
         Collection<Attempt> due =
@@ -95,7 +96,7 @@
         }
     }
 
-    private EarlierDecisions earlierDecisions(JobTable.Entry entry) {
+    private EarlierDecisions earlierDecisions(JobEntry entry) {
         return new EarlierDecisions() {
             @Override
             public boolean isReleased(Attempt attempt) {
@@ -103,14 +104,14 @@
             }
 
             @Override
-            public boolean teamOverLimit() {
+            public boolean teamExceedsQuota() {
                 return quotas.exceeded(entry.committed().spec().team());
             }
         };
     }
 
     /** A gang and a job with attempts to be stopped depend on more than the status of single attempts. */
-    private boolean needsFullReconcile(JobTable.Entry entry) {
+    private boolean needsFullReconcile(JobEntry entry) {
         return entry.committed().spec().gang()
                 || entry.cancelled()
                 || reconciler.stopping(entry.committed().jobId());
--- a/src/main/java/org/spoolline/scheduler/LaunchPreparer.java
+++ b/src/main/java/org/spoolline/scheduler/LaunchPreparer.java
@@ -9,6 +9,7 @@
 import org.slf4j.LoggerFactory;
 import org.spoolline.cluster.Machine;
 import org.spoolline.config.Constants;
+import org.spoolline.job.JobEntry;
 import org.spoolline.job.JobTable;
 import org.spoolline.kvstore.KeyValueStoreClient;
 import org.spoolline.metrics.Counters;
@@ -61,7 +62,7 @@
     }
 
     private void prepare(String jobId, List<Placement> placements, CycleState state) {
-        JobTable.Entry entry = jobs.get(jobId);
+        JobEntry entry = jobs.get(jobId);
         PendingWrite write = state.pendingWrites().get(jobId);
         Pipeline next = write == null ? entry.committed().copy() : write.next();
         long number = attemptNumber(next);
--- a/src/main/java/org/spoolline/scheduler/PendingWrite.java
+++ b/src/main/java/org/spoolline/scheduler/PendingWrite.java
@@ -1,6 +1,6 @@
 package org.spoolline.scheduler;
 
-import org.spoolline.job.JobTable;
+import org.spoolline.job.JobEntry;
 import org.spoolline.pipeline.Pipeline;
 
 /**
@@ -9,7 +9,7 @@
  * @param entry the job as it is committed
  * @param next  the value that is to replace the committed one
  */
-record PendingWrite(JobTable.Entry entry, Pipeline next) {
+record PendingWrite(JobEntry entry, Pipeline next) {
     /** The job's id. */
     String jobId() {
         return next.jobId();
--- a/src/main/java/org/spoolline/scheduler/PipelineWriter.java
+++ b/src/main/java/org/spoolline/scheduler/PipelineWriter.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import org.spoolline.election.LeaderElection;
+import org.spoolline.job.JobEntry;
 import org.spoolline.job.JobTable;
 import org.spoolline.kvstore.KeyValueStoreClient;
 import org.spoolline.metrics.Counters;
@@ -23,7 +24,7 @@
         void applied(PendingWrite write, long revision);
 
         /** The write to this job is not stored and never will be. */
-        void abandoned(JobTable.Entry entry);
+        void abandoned(JobEntry entry);
 
         /** The outcome of a transaction, or of a write that was read again, is known; true when it was applied. */
         void transactionDecided(boolean applied);
--- a/src/main/java/org/spoolline/scheduler/QuotaAudit.java
+++ b/src/main/java/org/spoolline/scheduler/QuotaAudit.java
@@ -9,6 +9,7 @@
 import org.spoolline.cluster.TaskStatus;
 import org.spoolline.config.Constants;
 import org.spoolline.config.Settings;
+import org.spoolline.job.JobEntry;
 import org.spoolline.job.JobTable;
 import org.spoolline.metrics.Counters;
 import org.spoolline.metrics.Event;
@@ -60,7 +61,7 @@
     private void addIfOnMachine(Map<String, TeamUsage> usageByTeam, AttemptId attemptId, TaskStatus status) {
         boolean onMachine =
                 status.phase() != TaskStatus.Phase.EXITED && status.phase() != TaskStatus.Phase.FETCHING_IMAGE;
-        JobTable.Entry job = jobs.get(attemptId.jobId());
+        JobEntry job = jobs.get(attemptId.jobId());
         if (onMachine && job != null) {
             Pipeline committed = job.committed();
             usageByTeam
@@ -72,7 +73,7 @@
     private void compare(String name, TeamUsage listed) {
         Settings.Team team = settings.teams().get(name);
         if (team != null && !listed.isWithinLimit(team)) {
-            counters.count(Event.TEAM_OVER_LIMIT);
+            counters.count(Event.TEAM_EXCEEDS_QUOTA);
             LOG.error(
                     "Team over its limit by heartbeats: team={} cores={} limit={} stored_cores={}",
                     name,
--- a/src/main/java/org/spoolline/scheduler/Reservations.java
+++ b/src/main/java/org/spoolline/scheduler/Reservations.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Set;
 import org.spoolline.config.Constants;
+import org.spoolline.job.JobEntry;
 import org.spoolline.job.JobTable;
 import org.spoolline.net.EventLoop;
 import org.spoolline.pipeline.AttemptId;
@@ -109,7 +110,7 @@
     /** Ends the reservations of jobs that have started or reached a terminal state, and those whose time is up. */
     void expire() {
         byJob.values().removeIf(reservation -> {
-            JobTable.Entry entry = jobs.get(reservation.preemption().jobId());
+            JobEntry entry = jobs.get(reservation.preemption().jobId());
             return entry == null
                     || entry.cancelled()
                     || started(entry.committed(), reservation.preemption())
--- a/src/main/java/org/spoolline/scheduler/StallInspector.java
+++ b/src/main/java/org/spoolline/scheduler/StallInspector.java
@@ -5,6 +5,7 @@
 import org.spoolline.cluster.MachineType;
 import org.spoolline.cluster.MachineTypeCatalog;
 import org.spoolline.election.LeaderElection;
+import org.spoolline.job.JobEntry;
 import org.spoolline.job.JobTable;
 import org.spoolline.job.JobWatcher;
 import org.spoolline.metrics.StallMonitor;
@@ -36,7 +37,7 @@
     StallMonitor.Situation inspect(List<Machine> schedulable, boolean lastCycleFailed, boolean lastPlanFailed) {
         int dependentJobs = 0;
         int readyJobs = 0;
-        for (JobTable.Entry entry : jobs.entries()) {
+        for (JobEntry entry : jobs.entries()) {
             Pipeline job = entry.committed();
             if (entry.cancelled()) {
                 continue;
--- a/src/main/java/org/spoolline/scheduler/TransactionCommitter.java
+++ b/src/main/java/org/spoolline/scheduler/TransactionCommitter.java
@@ -6,6 +6,7 @@
 import org.slf4j.LoggerFactory;
 import org.spoolline.config.Constants;
 import org.spoolline.election.LeaderElection;
+import org.spoolline.job.JobEntry;
 import org.spoolline.job.JobKeys;
 import org.spoolline.job.JobTable;
 import org.spoolline.kvstore.CommitOutcome;
@@ -176,7 +177,7 @@
         writes.forEach(write -> abandon(sent, write.entry(), outcome));
     }
 
-    private void abandon(Sent sent, JobTable.Entry entry, CommitOutcome outcome) {
+    private void abandon(Sent sent, JobEntry entry, CommitOutcome outcome) {
         writeLog.abandoned(sent.id(), entry, outcome);
         jobs.abandonProposed(entry);
         listener.abandoned(entry);
--- a/src/main/java/org/spoolline/scheduler/WriteLog.java
+++ b/src/main/java/org/spoolline/scheduler/WriteLog.java
@@ -5,7 +5,7 @@
 import java.util.Locale;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import org.spoolline.job.JobTable;
+import org.spoolline.job.JobEntry;
 import org.spoolline.kvstore.CommitOutcome;
 import org.spoolline.metrics.Counters;
 import org.spoolline.metrics.Event;
@@ -63,7 +63,7 @@
     }
 
     /** The write to this job is not stored and never will be. */
-    void abandoned(long transaction, JobTable.Entry entry, CommitOutcome outcome) {
+    void abandoned(long transaction, JobEntry entry, CommitOutcome outcome) {
         counters.count(Event.WRITE_ABANDONED);
         LOG.debug(
                 "Write abandoned: job={} transaction={} base_revision={} reason={}",
--- a/src/main/java/org/spoolline/worker/LaunchLog.java
+++ b/src/main/java/org/spoolline/worker/LaunchLog.java
@@ -2,6 +2,7 @@
 
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.spoolline.job.JobEntry;
 import org.spoolline.job.JobTable;
 import org.spoolline.job.TeamQuotas;
 import org.spoolline.metrics.Counters;
@@ -26,7 +27,7 @@
     /** A response to the machine's heartbeat orders the launch of a stored attempt. */
     void ordered(AttemptId attemptId, String machine) {
         counters.count(Event.LAUNCH_ORDERED);
-        JobTable.Entry job = jobs.get(attemptId.jobId());
+        JobEntry job = jobs.get(attemptId.jobId());
         Attempt attempt = jobs.attemptsOn(machine).get(attemptId);
         if (job == null || attempt == null) {
             return;
--- a/src/main/java/org/spoolline/worker/OrderPlanner.java
+++ b/src/main/java/org/spoolline/worker/OrderPlanner.java
@@ -7,6 +7,7 @@
 import org.spoolline.cluster.Machine;
 import org.spoolline.cluster.TaskStatus;
 import org.spoolline.config.Constants;
+import org.spoolline.job.JobEntry;
 import org.spoolline.job.JobTable;
 import org.spoolline.job.TeamQuotas;
 import org.spoolline.metrics.Counters;
@@ -49,7 +50,7 @@
     List<Order> stopsOfCancelledJobs(Machine machine) {
         List<Order> orders = new ArrayList<>();
         for (Map.Entry<AttemptId, TaskStatus> listed : machine.tasks().entrySet()) {
-            JobTable.Entry job = jobs.get(listed.getKey().jobId());
+            JobEntry job = jobs.get(listed.getKey().jobId());
             if (listed.getValue().phase() != TaskStatus.Phase.EXITED && job != null && job.cancelled()) {
                 orders.add(new Order.Stop(listed.getKey(), 0));
             }
@@ -155,13 +156,13 @@
     }
 
     private boolean isHeld(AttemptId attemptId, Attempt attempt) {
-        JobTable.Entry job = jobs.get(attemptId.jobId());
+        JobEntry job = jobs.get(attemptId.jobId());
         return job != null && job.holdsAttempt(attempt);
     }
 
     /** The grace in seconds with which a stored attempt is to be stopped; empty when it is to run on. */
     private OptionalDouble stopGraceS(AttemptId attemptId, Attempt attempt) {
-        JobTable.Entry job = jobs.get(attemptId.jobId());
+        JobEntry job = jobs.get(attemptId.jobId());
         if (job == null || job.cancelled() || !job.holdsAttempt(attempt)) {
             return OptionalDouble.of(0);
         }
--- a/src/test/java/org/spoolline/job/JobTableTest.java
+++ b/src/test/java/org/spoolline/job/JobTableTest.java
@@ -4,14 +4,12 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.spoolline.kvstore.WatchEvent;
-import org.spoolline.net.Json;
 import org.spoolline.pipeline.Attempt;
 import org.spoolline.pipeline.Pipeline;
-import org.spoolline.pipeline.SubmissionCodec;
+import org.spoolline.pipeline.SampleSubmissions;
 
 /** What the table counts as used by a team while attempts are decided, written, refused and stored. */
 class JobTableTest {
@@ -24,40 +22,19 @@
     private final Attempt second = new Attempt(1, 1, "m-2", 1);
 
     @BeforeEach
-    void storeTwoAttempts() throws SubmissionCodec.Malformed {
-        Pipeline job = Pipeline.accept(SubmissionCodec.parse(submission()), submission(), 0);
+    void storeTwoAttempts() {
+        Pipeline job = SampleSubmissions.acceptedArray(JOB, TEAM, 3, CORES);
         assertEquals(first.number(), job.nextAttemptNumber());
         job.addAttempt(first);
         job.addAttempt(second);
         observe(job, 5);
     }
 
-    private static ObjectNode submission() {
-        return Json.object()
-                .put("uid", JOB)
-                .put("lane", "any")
-                .put("desk", TEAM)
-                .put("shape", "batch")
-                .put("urgency", "standard")
-                .put("slips", 3)
-                .put("cores", CORES)
-                .put("accelerators", 0)
-                .put("memGb", 1)
-                .put("plate", "img")
-                .put("imageGb", 1)
-                .put("samePlace", false)
-                .put("scatter", false)
-                .put("standby", true)
-                .put("expectS", 20)
-                .put("bookmarkS", 0)
-                .put("stashS", 0);
-    }
-
     private void observe(Pipeline job, long version) {
         jobs.observe(new WatchEvent(JobKeys.live(JOB), job.encode(), version), JOB);
     }
 
-    private JobTable.Entry entry() {
+    private JobEntry entry() {
         return jobs.get(JOB);
     }
 
--- /dev/null
+++ b/src/test/java/org/spoolline/pipeline/SampleSubmissions.java
@@ -0,0 +1,45 @@
+package org.spoolline.pipeline;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.spoolline.net.Json;
+
+/** Bodies of submissions that name every required field. */
+public final class SampleSubmissions {
+    private SampleSubmissions() {}
+
+    /**
+     * A job of standard priority without checkpoints, whose tasks may run anywhere; the caller may set further fields.
+     *
+     * @param shape the users' word for an array or a gang
+     */
+    public static ObjectNode body(String jobId, String team, String shape, int tasks, double cores) {
+        return Json.object()
+                .put("uid", jobId)
+                .put("lane", "any")
+                .put("desk", team)
+                .put("shape", shape)
+                .put("urgency", "standard")
+                .put("slips", tasks)
+                .put("cores", cores)
+                .put("accelerators", 0)
+                .put("memGb", 1)
+                .put("plate", "img")
+                .put("imageGb", 1)
+                .put("samePlace", false)
+                .put("scatter", false)
+                .put("standby", true)
+                .put("expectS", 20.0)
+                .put("bookmarkS", 0)
+                .put("stashS", 0);
+    }
+
+    /** An accepted array without attempts. */
+    public static Pipeline acceptedArray(String jobId, String team, int tasks, double cores) {
+        ObjectNode body = body(jobId, team, "batch", tasks, cores);
+        try {
+            return Pipeline.accept(SubmissionCodec.parse(body), body, 0);
+        } catch (SubmissionCodec.Malformed e) {
+            throw new AssertionError(e);
+        }
+    }
+}
--- a/src/test/java/org/spoolline/scheduler/PipelineWriterTest.java
+++ b/src/test/java/org/spoolline/scheduler/PipelineWriterTest.java
@@ -19,6 +19,7 @@
 import org.spoolline.config.Constants;
 import org.spoolline.config.Settings;
 import org.spoolline.election.LeaderElection;
+import org.spoolline.job.JobEntry;
 import org.spoolline.job.JobKeys;
 import org.spoolline.job.JobTable;
 import org.spoolline.kvstore.KeyValueStoreClient;
@@ -93,7 +94,7 @@
         }
 
         @Override
-        public void abandoned(JobTable.Entry entry) {
+        public void abandoned(JobEntry entry) {
             outcomes.add("abandoned " + entry.committed().jobId());
         }
 
--- a/src/test/java/org/spoolline/scheduler/SchedulerFixture.java
+++ b/src/test/java/org/spoolline/scheduler/SchedulerFixture.java
@@ -13,9 +13,9 @@
 import org.spoolline.cluster.MachineType;
 import org.spoolline.cluster.TaskStatus;
 import org.spoolline.config.Settings;
-import org.spoolline.net.Json;
 import org.spoolline.pipeline.Attempt;
 import org.spoolline.pipeline.Pipeline;
+import org.spoolline.pipeline.SampleSubmissions;
 import org.spoolline.pipeline.Submission;
 import org.spoolline.pipeline.SubmissionCodec;
 import org.spoolline.simulation.Simulation;
@@ -47,21 +47,8 @@
             double checkpointS,
             long acceptedAt)
             throws SubmissionCodec.Malformed {
-        ObjectNode body = Json.object()
-                .put("uid", jobId)
-                .put("lane", "any")
-                .put("desk", team)
-                .put("shape", shape)
+        ObjectNode body = SampleSubmissions.body(jobId, team, shape, tasks, cores)
                 .put("urgency", urgency)
-                .put("slips", tasks)
-                .put("cores", cores)
-                .put("accelerators", 0)
-                .put("memGb", 1)
-                .put("plate", "img")
-                .put("imageGb", 1)
-                .put("samePlace", false)
-                .put("scatter", false)
-                .put("standby", true)
                 .put("expectS", 200)
                 .put("bookmarkS", checkpointS)
                 .put("stashS", 4);
--- a/src/test/java/org/spoolline/simulation/QuotaAfterOutageTest.java
+++ b/src/test/java/org/spoolline/simulation/QuotaAfterOutageTest.java
@@ -49,7 +49,7 @@
         assertTrue(simulation.invariants.starts() > startsBefore, "expected tasks to start after the outage");
         assertEquals(List.of(), simulation.invariants.violations(), "seed " + seed);
         assertEquals(0, countOnAll(simulation, Event.LAUNCH_OF_RELEASED_ATTEMPT), "seed " + seed);
-        assertEquals(0, countOnAll(simulation, Event.TEAM_OVER_LIMIT), "seed " + seed);
+        assertEquals(0, countOnAll(simulation, Event.TEAM_EXCEEDS_QUOTA), "seed " + seed);
     }
 
     private static long countOnAll(Simulation simulation, Event event) {
--- a/src/test/java/org/spoolline/simulation/SimulatedUsers.java
+++ b/src/test/java/org/spoolline/simulation/SimulatedUsers.java
@@ -7,6 +7,7 @@
 import java.util.function.Consumer;
 import org.spoolline.net.Http;
 import org.spoolline.net.Json;
+import org.spoolline.pipeline.SampleSubmissions;
 
 /** Users who submit, poll and cancel jobs through random controllers, and retry until they get an answer. */
 public final class SimulatedUsers {
@@ -72,24 +73,9 @@
 
     /** Creates a job without submitting it; {@code shape} is the users' word for an array or a gang. */
     public SimulatedJob job(String team, String shape, int tasks, double cores, double runS) {
-        ObjectNode body = Json.object()
-                .put("uid", String.format("run-%06d", ++jobCount))
-                .put("lane", "any")
-                .put("desk", team)
-                .put("shape", shape)
-                .put("urgency", "standard")
-                .put("slips", tasks)
-                .put("cores", cores)
-                .put("accelerators", 0)
-                .put("memGb", 1)
-                .put("plate", "img")
-                .put("imageGb", 1)
-                .put("samePlace", false)
-                .put("scatter", false)
-                .put("standby", true)
-                .put("expectS", runS)
-                .put("bookmarkS", 0)
-                .put("stashS", 0);
+        String jobId = String.format("run-%06d", ++jobCount);
+        ObjectNode body =
+                SampleSubmissions.body(jobId, team, shape, tasks, cores).put("expectS", runS);
         SimulatedJob job = new SimulatedJob(body, (long) (runS * 1000));
         jobs.put(job.jobId(), job);
         return job;
--- a/src/test/java/org/spoolline/worker/OrderPlannerTest.java
+++ b/src/test/java/org/spoolline/worker/OrderPlannerTest.java
@@ -2,7 +2,6 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.List;
 import java.util.OptionalDouble;
 import org.junit.jupiter.api.BeforeEach;
@@ -11,6 +10,7 @@
 import org.spoolline.cluster.Machine;
 import org.spoolline.cluster.TaskStatus;
 import org.spoolline.config.Settings;
+import org.spoolline.job.JobEntry;
 import org.spoolline.job.JobKeys;
 import org.spoolline.job.JobTable;
 import org.spoolline.job.TeamQuotas;
@@ -18,11 +18,10 @@
 import org.spoolline.metrics.Counters;
 import org.spoolline.metrics.Event;
 import org.spoolline.net.FakeEventLoop;
-import org.spoolline.net.Json;
 import org.spoolline.pipeline.Attempt;
 import org.spoolline.pipeline.AttemptId;
 import org.spoolline.pipeline.Pipeline;
-import org.spoolline.pipeline.SubmissionCodec;
+import org.spoolline.pipeline.SampleSubmissions;
 import org.spoolline.reconcile.DesiredState;
 import org.spoolline.simulation.Simulation;
 
@@ -55,31 +54,13 @@
     }
 
     @BeforeEach
-    void storeOneAttempt() throws SubmissionCodec.Malformed {
+    void storeOneAttempt() {
         store(JOB, ATTEMPT);
         receiveHeartbeat(1);
     }
 
-    private void store(String jobId, Attempt attempt) throws SubmissionCodec.Malformed {
-        ObjectNode body = Json.object()
-                .put("uid", jobId)
-                .put("lane", "any")
-                .put("desk", "red")
-                .put("shape", "batch")
-                .put("urgency", "standard")
-                .put("slips", 1)
-                .put("cores", 20)
-                .put("accelerators", 0)
-                .put("memGb", 1)
-                .put("plate", "img")
-                .put("imageGb", 1)
-                .put("samePlace", false)
-                .put("scatter", false)
-                .put("standby", true)
-                .put("expectS", 20)
-                .put("bookmarkS", 0)
-                .put("stashS", 0);
-        Pipeline job = Pipeline.accept(SubmissionCodec.parse(body), body, 0);
+    private void store(String jobId, Attempt attempt) {
+        Pipeline job = SampleSubmissions.acceptedArray(jobId, "red", 1, 20);
         assertEquals(attempt.number(), job.nextAttemptNumber());
         job.addAttempt(attempt);
         jobs.observe(new WatchEvent(JobKeys.live(jobId), job.encode(), 5), jobId);
@@ -93,7 +74,7 @@
     }
 
     private void release() {
-        JobTable.Entry entry = jobs.get(JOB);
+        JobEntry entry = jobs.get(JOB);
         Pipeline next = entry.committed().copy();
         next.loseAttempt(ATTEMPT);
         jobs.release(entry, next);
@@ -138,7 +119,7 @@
 
     /** Another stored attempt of 20 cores exceeds the team's limit of 32: neither is launched, and a listed one runs on. */
     @Test
-    void nothingIsLaunchedWhileTheTeamsStoredAttemptsExceedItsLimit() throws SubmissionCodec.Malformed {
+    void nothingIsLaunchedWhileTheTeamsStoredAttemptsExceedItsLimit() {
         store("run-000002", new Attempt(0, 1, "m-2", 1));
         assertEquals(List.of(), planner.ordersFor(machine));
         assertEquals(1, counters.of(Event.LAUNCH_WITHHELD_TEAM_LIMIT));
