--- a/src/main/java/org/spoolline/api/SubmissionHandler.java
+++ b/src/main/java/org/spoolline/api/SubmissionHandler.java
@@ -68,6 +68,7 @@
     private void submit(Submission job, Consumer<Http.Response> responder) {
         Optional<UnsatisfiableReason> reason = validator.validate(job);
         if (reason.isPresent()) {
+            logUnsatisfiable(job, reason.get());
             rejectUnlessAccepted(job, JobResponseCodec.unsatisfiable(job, reason.get()), responder);
             return;
         }
@@ -150,6 +151,15 @@
         });
     }
 
+    private static void logUnsatisfiable(Submission job, UnsatisfiableReason reason) {
+        LOG.info(
+                "Rejected unsatisfiable submission: job={} class={} team={} reason={}",
+                job.jobId(),
+                job.jobClass(),
+                job.team(),
+                reason);
+    }
+
     private static void logAccepted(Submission job) {
         LOG.info(
                 "Accepted job: job={} class={} team={} tasks={}", job.jobId(), job.jobClass(), job.team(), job.tasks());
--- a/src/main/java/org/spoolline/config/Settings.java
+++ b/src/main/java/org/spoolline/config/Settings.java
@@ -51,16 +51,19 @@
      * A team's quota: what it is guaranteed, and the most that it may use.
      *
      * @param guaranteedCores        cores, 0 or more
-     * @param maxCores               cores, 0 or more
+     * @param maxCores               cores, over 0, or {@link #UNLIMITED}
      * @param guaranteedAccelerators accelerators, 0 or more
-     * @param maxAccelerators        accelerators, 0 or more
+     * @param maxAccelerators        accelerators, over 0, or {@link #UNLIMITED}
      */
     public record Team(
             String name,
             double guaranteedCores,
             double maxCores,
             double guaranteedAccelerators,
-            double maxAccelerators) {}
+            double maxAccelerators) {
+        /** The limit of a team that may use whatever others leave. */
+        public static final double UNLIMITED = Double.POSITIVE_INFINITY;
+    }
 
     /**
      * A service-level objective for a class of jobs. Kinds differ in their fields, and kinds may be added.
--- a/src/main/java/org/spoolline/config/SettingsFile.java
+++ b/src/main/java/org/spoolline/config/SettingsFile.java
@@ -141,14 +141,20 @@
             Settings.Team team = new Settings.Team(
                     table.requiredText("name"),
                     table.number("cpus", 0),
-                    table.requiredNumber("cpus_max"),
+                    limit(table, "cpus_max"),
                     table.number("gpus", 0),
-                    table.requiredNumber("gpus_max"));
+                    limit(table, "gpus_max"));
             teams.put(team.name(), team);
         }
         return teams;
     }
 
+    /** In the settings a limit of 0 means none: such a team uses whatever others leave. */
+    private static double limit(SettingsTable table, String name) {
+        double limit = table.requiredNumber(name);
+        return limit == 0 ? Settings.Team.UNLIMITED : limit;
+    }
+
     private static List<Settings.Objective> objectives(SettingsTable cluster) {
         List<Settings.Objective> objectives = new ArrayList<>();
         for (SettingsTable table : cluster.tables("objectives")) {
--- a/src/test/java/org/spoolline/config/SettingsFileTest.java
+++ b/src/test/java/org/spoolline/config/SettingsFileTest.java
@@ -105,6 +105,18 @@
                         .node());
     }
 
+    /** A guest team has no guarantee and no limit: read as a limit of nothing, each of its jobs got 422. */
+    @Test
+    void aLimitOfZeroMeansNone() throws Exception {
+        Settings.Team team = SettingsFile.parse(VALID.replace("cpus_max = 2.0", "cpus_max = 0.0"))
+                .teams()
+                .values()
+                .iterator()
+                .next();
+        assertEquals(Settings.Team.UNLIMITED, team.maxCores());
+        assertEquals(Settings.Team.UNLIMITED, team.maxAccelerators());
+    }
+
     @Test
     void rejectionsNameTheField() {
         assertTrue(rejection(VALID.replace("lease_s = 18.0\n", "")).contains("cluster.workers.lease_s"));
--- /dev/null
+++ b/src/test/java/org/spoolline/simulation/GuestTeamTest.java
@@ -0,0 +1,50 @@
+package org.spoolline.simulation;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** A team without a guarantee and without a limit takes what is idle, and leaves when those with a guarantee need it. */
+class GuestTeamTest {
+    private static final String GUEST = "guest";
+
+    @ParameterizedTest
+    @MethodSource(Seeds.EACH)
+    void guestFillsIdleCapacityAndLeavesForATeamWithinItsGuarantee(int seed) {
+        Simulation simulation = new Simulation(seed);
+        simulation.cloud.capacity = 1;
+        simulation.run(3);
+        SimulatedJob wide = simulation.users.submit(simulation
+                .users
+                .job(GUEST, "batch", 150, 2, 25)
+                .with("urgency", "best_effort")
+                .with("bookmarkS", 5.0)
+                .with("stashS", 1.0));
+        simulation.run(40);
+        assertTrue(simulation.invariants.starts() > 20, "expected the guest to fill the machines");
+        SimulatedJob owner = simulation.users.submit(simulation.users.job("blue", "batch", 8, 4, 15));
+        simulation.run(60);
+        assertEquals("done", owner.status(), "seed " + seed);
+        simulation.run(300);
+        assertEquals("done", wide.status(), "seed " + seed);
+        assertEquals(List.of(), simulation.invariants.violations(), "seed " + seed);
+    }
+
+    @ParameterizedTest
+    @MethodSource(Seeds.EACH)
+    void swarmOfTinyGuestJobsIsAcceptedAndDone(int seed) {
+        Simulation simulation = new Simulation(seed);
+        simulation.run(3);
+        for (int i = 0; i < 120; i++) {
+            simulation.at(i * 100L, () -> simulation.users.submit(simulation.users.job(GUEST, "batch", 1, 0.25, 20)));
+        }
+        simulation.run(150);
+        for (SimulatedJob job : simulation.users.jobs()) {
+            assertEquals("done", job.status(), "seed " + seed + ": " + job.jobId());
+        }
+        assertEquals(List.of(), simulation.invariants.violations(), "seed " + seed);
+    }
+}
--- a/src/test/java/org/spoolline/simulation/SimulatedSettings.java
+++ b/src/test/java/org/spoolline/simulation/SimulatedSettings.java
@@ -5,7 +5,7 @@
 import org.spoolline.config.SettingsException;
 import org.spoolline.config.SettingsFile;
 
-/** The settings file of each controller: two teams, and limits that the scenario scales or announces. */
+/** The settings file of each controller: two teams, a guest without guarantee and limit, and store limits that the scenario scales or announces. */
 final class SimulatedSettings {
     private final int teamScale;
     private final int storeRequestsPerS;
@@ -76,6 +76,12 @@
                 cpus_max = %1$d.0
                 gpus = 0.0
                 gpus_max = 0.0
+                [[cluster.teams]]
+                name = "guest"
+                cpus = 0.0
+                cpus_max = 0.0
+                gpus = 0.0
+                gpus_max = 0.0
                 [cluster.workers]
                 report_s = 3.0
                 lease_s = 16.0
