Releases are looked for among the attempts decided about; evictions go on in a team over its limit

Each value that changed compared all attempts of its job, and each attempt asked for the team's quota. That question also came before the one for evictions and cut it short in a team over its limit.

Change: JobTable.release looks at the attempts that were reconciled; the quota is asked for attempts that are absent only; no table for jobs that lose nothing.

--- a/src/main/java/org/spoolline/job/JobEntry.java
+++ b/src/main/java/org/spoolline/job/JobEntry.java
@@ -1,5 +1,6 @@
 package org.spoolline.job;
 
+import java.util.Collection;
 import java.util.HashSet;
 import java.util.Set;
 import org.spoolline.kvstore.WatchEvent;
@@ -60,7 +61,7 @@
 
     /** True for a committed attempt whose end is decided, though perhaps not stored. */
     public boolean isReleased(Attempt attempt) {
-        return released.contains(attempt);
+        return !released.isEmpty() && released.contains(attempt);
     }
 
     /** True once a cancellation is known. Nothing undoes one, so it counts whatever is being written. */
@@ -74,10 +75,10 @@
         return held + committed.unlistedAttempts() - releasedUnlisted;
     }
 
-    /** Notes that the committed attempts which {@code next} lacks have ended. */
-    void release(Pipeline next) {
-        for (Attempt attempt : committed.attempts()) {
-            if (!next.hasAttempt(attempt)) {
+    /** Notes that those of the committed attempts given which {@code next} lacks have ended. */
+    void release(Pipeline next, Collection<Attempt> decided) {
+        for (Attempt attempt : decided) {
+            if (committed.hasAttempt(attempt) && !next.hasAttempt(attempt)) {
                 released.add(attempt);
             }
         }
--- a/src/main/java/org/spoolline/job/JobTable.java
+++ b/src/main/java/org/spoolline/job/JobTable.java
@@ -59,11 +59,12 @@
      * is free from now on, so the decision is final for this term: whatever is learnt later they are not launched, and every
      * further value that this leader proposes lacks them too.
      *
+     * @param decided the attempts that were decided about: a wide array has many more
      * @return how many of them were not released before
      */
-    public int release(JobEntry entry, Pipeline next) {
+    public int release(JobEntry entry, Pipeline next, Collection<Attempt> decided) {
         int heldBefore = entry.heldAttempts();
-        entry.release(next);
+        entry.release(next, decided);
         int newlyReleased = heldBefore - entry.heldAttempts();
         usage.add(entry.committed().spec(), -newlyReleased);
         return newlyReleased;
--- a/src/main/java/org/spoolline/reconcile/AttemptReconciler.java
+++ b/src/main/java/org/spoolline/reconcile/AttemptReconciler.java
@@ -146,7 +146,6 @@
             return;
         }
         boolean toStop = committed.cancelled()
-                || earlier.teamExceedsQuota()
                 || stopForEviction(committed, attempt, machine)
                 || stops.contains(AttemptId.of(jobId, attempt));
         switch (assessment.state()) {
@@ -161,7 +160,7 @@
                 lost.add(attempt, assessment.proof(), machine);
             }
             case ABSENT -> {
-                if (toStop) {
+                if (toStop || earlier.teamExceedsQuota()) {
                     draft.forChange().loseAttempt(attempt);
                 }
             }
--- a/src/main/java/org/spoolline/reconcile/LostAttemptsLog.java
+++ b/src/main/java/org/spoolline/reconcile/LostAttemptsLog.java
@@ -24,7 +24,8 @@
 
     private final String jobId;
     private final long now;
-    private final Map<TerminationProof.Proof, Lost> byProof = new EnumMap<>(TerminationProof.Proof.class);
+    /** Empty for most jobs in most cycles, and then without a table of its own. */
+    private Map<TerminationProof.Proof, Lost> byProof = Map.of();
 
     LostAttemptsLog(String jobId, long now) {
         this.jobId = jobId;
@@ -35,6 +36,9 @@
     void add(Attempt attempt, TerminationProof.Proof proof, Machine machine) {
         long heartbeatAgeMs = machine == null ? UNKNOWN_AGE : age(machine.lastHeartbeatAt());
         long responseAgeMs = machine == null ? UNKNOWN_AGE : age(machine.lastResponseAt());
+        if (byProof.isEmpty()) {
+            byProof = new EnumMap<>(TerminationProof.Proof.class);
+        }
         Lost lost = byProof.computeIfAbsent(proof, unseen -> new Lost());
         lost.attempts++;
         lost.heartbeatAgeMs = Math.min(lost.heartbeatAgeMs, heartbeatAgeMs);
--- a/src/main/java/org/spoolline/scheduler/JobStepper.java
+++ b/src/main/java/org/spoolline/scheduler/JobStepper.java
@@ -88,7 +88,7 @@
                 unaffected ? Optional.empty() : reconciler.tryReconcile(committed, due, earlierDecisions(entry));
         state.addJob(next.orElse(committed));
         if (next.isPresent()) {
-            counters.count(Event.ATTEMPT_RELEASED, jobs.release(entry, next.get()));
+            counters.count(Event.ATTEMPT_RELEASED, jobs.release(entry, next.get(), due));
             state.addWrite(entry, next.get());
             dirtyAttempts.mark(jobId, due);
         } else {
--- a/src/test/java/org/spoolline/job/JobTableTest.java
+++ b/src/test/java/org/spoolline/job/JobTableTest.java
@@ -51,16 +51,18 @@
     @Test
     void storedAttemptsCountAndReleasedOnesDoNot() {
         assertAttemptsCounted(2);
-        assertEquals(1, jobs.release(entry(), withoutFirst()));
+        assertEquals(
+                1, jobs.release(entry(), withoutFirst(), entry().committed().attempts()));
         assertAttemptsCounted(1);
-        assertEquals(0, jobs.release(entry(), withoutFirst()));
+        assertEquals(
+                0, jobs.release(entry(), withoutFirst(), entry().committed().attempts()));
         assertAttemptsCounted(1);
     }
 
     @Test
     void aReleaseOutlastsARefusedWrite() {
         Pipeline next = withoutFirst();
-        jobs.release(entry(), next);
+        jobs.release(entry(), next, entry().committed().attempts());
         jobs.propose(entry(), next);
         jobs.abandonProposed(entry());
         assertTrue(entry().isReleased(first));
@@ -72,7 +74,7 @@
     /** A user cancels the job meanwhile: the newer value still lists the attempt. */
     @Test
     void aReleaseOutlastsANewerValueThatListsTheAttempt() {
-        jobs.release(entry(), withoutFirst());
+        jobs.release(entry(), withoutFirst(), entry().committed().attempts());
         Pipeline cancelled = entry().committed().copy();
         cancelled.cancel();
         observe(cancelled, 6);
@@ -83,7 +85,7 @@
     @Test
     void aReleaseEndsOnceItIsStored() {
         Pipeline next = withoutFirst();
-        jobs.release(entry(), next);
+        jobs.release(entry(), next, entry().committed().attempts());
         jobs.propose(entry(), next);
         jobs.commitProposed(entry(), 6);
         assertFalse(entry().isReleased(first));
@@ -104,20 +106,20 @@
         assertAttemptsCounted(2);
         Pipeline next = entry().committed().copy();
         next.clearUnlistedAttempts();
-        assertEquals(2, jobs.release(entry(), next));
+        assertEquals(2, jobs.release(entry(), next, entry().committed().attempts()));
         assertAttemptsCounted(0);
     }
 
     @Test
     void aRemovedJobCountsNothing() {
-        jobs.release(entry(), withoutFirst());
+        jobs.release(entry(), withoutFirst(), entry().committed().attempts());
         jobs.remove(JOB, 6);
         assertAttemptsCounted(0);
     }
 
     @Test
     void aNewTermForgetsReleases() {
-        jobs.release(entry(), withoutFirst());
+        jobs.release(entry(), withoutFirst(), entry().committed().attempts());
         Pipeline stored = entry().committed();
         jobs.clear();
         assertAttemptsCounted(0);
--- a/src/test/java/org/spoolline/worker/OrderPlannerTest.java
+++ b/src/test/java/org/spoolline/worker/OrderPlannerTest.java
@@ -77,7 +77,7 @@
         JobEntry entry = jobs.get(JOB);
         Pipeline next = entry.committed().copy();
         next.loseAttempt(ATTEMPT);
-        jobs.release(entry, next);
+        jobs.release(entry, next, entry.committed().attempts());
     }
 
     @Test
