Review, case 1: a wide array's value fills up, and the job never goes on

Cause, as far as known: placements may fill a job's value to 85% of the least value limit. The first failures of its tasks then add fields for which nothing is kept free below that, and no attempt fits any more, also not of the tasks whose completion would make the value small.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -3,5 +3,5 @@
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
 [ -f target/spoolline.jar ] || { echo "the case could not run: build the project first"; exit 2; }
-[ -f target/review/review/Cancelled.class ] || bash review/build.sh || exit 2
-exec java -Xmx512m -cp target/review:target/spoolline.jar review.Cancelled "$here"
+[ -f target/review/review/Wide.class ] || bash review/build.sh || exit 2
+exec java -Xmx512m -cp target/review:target/spoolline.jar review.Wide "$here"
