--- a/review/standins/review/Store.java
+++ b/review/standins/review/Store.java
@@ -288,6 +288,12 @@
         return low;
     }
 
+    /** The bytes of a key's value; 0 if there is none. */
+    synchronized int bytes(String key) {
+        Entry entry = keys.get(key);
+        return entry == null ? 0 : Json.bytes(entry.value()).length;
+    }
+
     /** The node named by the leader key, or an empty text. */
     synchronized String leader() {
         Entry entry = keys.get("leader");
