Log whether the leader hears of a cancellation, and the view age of each launch

The logs could not tell apart: (1) the cut leader launches on a view that lacks the cancellation, (2) the next leader does, (3) the start was in flight, (4) the leader heard of the cancellation and launched all the same. Nobody looked at the reply to the message about a cancellation, and a launch did not say how old the view was.

Change: a log line and two counters for the message's outcome, one line where it arrives, and view_age_ms in "Ordered launch". No change of behaviour.

--- a/src/main/java/org/spoolline/Controller.java
+++ b/src/main/java/org/spoolline/Controller.java
@@ -3,6 +3,8 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import org.spoolline.api.JobApi;
 import org.spoolline.autoscaler.Autoscaler;
 import org.spoolline.cluster.MachineRegistry;
@@ -32,6 +34,8 @@
     /** Path on the internal address at which operators read the node's status and counters. */
     public static final String COUNTERS_PATH = "/counters";
 
+    private static final Logger LOG = LoggerFactory.getLogger(Controller.class);
+
     private final EventLoop loop;
     private final Counters counters;
     private final LeaderElection election;
@@ -82,7 +86,7 @@
                 scheduler,
                 scheduler::machineChanged,
                 counters);
-        peerService = new PeerService(loop, http, settings, store, election, new PeerRequestHandler());
+        peerService = new PeerService(loop, http, settings, store, election, new PeerRequestHandler(), counters);
         health = new NodeHealth(loop, store, catalog, election, heartbeatService, peerService);
         NodeStatus status =
                 new NodeStatus(settings.node(), election, staleness, store, catalog, stallMonitor, counters);
@@ -190,6 +194,7 @@
 
         @Override
         public void jobCancelled(String jobId) {
+            LOG.debug("Peer confirmed a cancellation: job={} leading={}", jobId, election.isLeader());
             jobs.markCancelled(jobId);
         }
     }
--- a/src/main/java/org/spoolline/election/StalenessBound.java
+++ b/src/main/java/org/spoolline/election/StalenessBound.java
@@ -52,6 +52,11 @@
         return viewCompleteAsOf != NEVER;
     }
 
+    /** The time in ms since the view was last known to be complete. Meaningful once {@link #hasCompleteView} is true. */
+    public long viewAgeMs() {
+        return loop.now() - viewCompleteAsOf;
+    }
+
     /** True while the view is recent enough to launch tasks and to make all other scheduling decisions. */
     public boolean mayLaunch() {
         return election.hasValidLease() && loop.now() < settings.leadershipEndsAt(viewCompleteAsOf);
--- a/src/main/java/org/spoolline/metrics/Event.java
+++ b/src/main/java/org/spoolline/metrics/Event.java
@@ -72,6 +72,11 @@
     /** A watch on the live jobs failed because the key-value store has compacted the requested history. */
     JOBS_WATCH_COMPACTED,
 
+    /** The leader answered the notification of a cancellation that this node has committed. */
+    CANCELLATION_NOTIFICATION_ANSWERED,
+    /** The leader did not answer the notification of a cancellation, or no leader is known. */
+    CANCELLATION_NOTIFICATION_FAILED,
+
     /** This node won an election. */
     ELECTION_WON,
     /** This node lost an election to another node. */
--- a/src/main/java/org/spoolline/peer/PeerService.java
+++ b/src/main/java/org/spoolline/peer/PeerService.java
@@ -4,10 +4,14 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import org.spoolline.config.Constants;
 import org.spoolline.config.Settings;
 import org.spoolline.election.LeaderElection;
 import org.spoolline.kvstore.KeyValueStoreClient;
+import org.spoolline.metrics.Counters;
+import org.spoolline.metrics.Event;
 import org.spoolline.net.EventLoop;
 import org.spoolline.net.Http;
 
@@ -19,6 +23,7 @@
  * <p>All methods are called on the event loop.
  */
 public final class PeerService {
+    private static final Logger LOG = LoggerFactory.getLogger(PeerService.class);
     private static final String STATUS_PATH = "/status";
     private static final String FORWARD_PATH = "/forward";
     private static final String CANCELLED_PATH = "/cancelled";
@@ -51,6 +56,7 @@
     private final KeyValueStoreClient store;
     private final LeaderElection election;
     private final LocalNode localNode;
+    private final Counters counters;
     private final Map<String, ReceivedStatus> statusByNode = new HashMap<>();
 
     /** Creates a service, which sends no message before {@link #start}. */
@@ -60,13 +66,15 @@
             Settings settings,
             KeyValueStoreClient store,
             LeaderElection election,
-            LocalNode localNode) {
+            LocalNode localNode,
+            Counters counters) {
         this.loop = loop;
         this.http = http;
         this.settings = settings;
         this.store = store;
         this.election = election;
         this.localNode = localNode;
+        this.counters = counters;
     }
 
     /** Starts the periodic exchange of statuses with each peer. */
@@ -117,14 +125,33 @@
      * requests. Without the notification, the tasks would then run until their workers' leases expire.
      */
     public void notifyLeaderOfCancellation(String cancelledJobId) {
-        String leader = election.knownLeader().orElse("");
+        Optional<String> leader = election.knownLeader();
+        if (leader.isEmpty()) {
+            recordNotification(cancelledJobId, "unknown", false);
+            return;
+        }
         for (Settings.Peer peer : settings.peers()) {
-            if (peer.node().equals(leader)) {
-                send(peer, CANCELLED_PATH, PeerCodec.encodeCancellation(cancelledJobId), reply -> {});
+            if (peer.node().equals(leader.get())) {
+                byte[] message = PeerCodec.encodeCancellation(cancelledJobId);
+                send(
+                        peer,
+                        CANCELLED_PATH,
+                        message,
+                        reply -> recordNotification(cancelledJobId, peer.node(), reply.ok()));
             }
         }
     }
 
+    private void recordNotification(String cancelledJobId, String leader, boolean answered) {
+        if (answered) {
+            counters.count(Event.CANCELLATION_NOTIFICATION_ANSWERED);
+            LOG.debug("Leader notified of cancellation: job={} leader={}", cancelledJobId, leader);
+        } else {
+            counters.count(Event.CANCELLATION_NOTIFICATION_FAILED);
+            LOG.info("Leader not notified of cancellation: job={} leader={}", cancelledJobId, leader);
+        }
+    }
+
     /**
      * Forwards a user's request to a peer that reaches the key-value store.
      *
--- a/src/main/java/org/spoolline/worker/HeartbeatResponder.java
+++ b/src/main/java/org/spoolline/worker/HeartbeatResponder.java
@@ -107,7 +107,7 @@
         AttemptId attemptId = order.attemptId();
         if (order instanceof Order.Launch) {
             machine.recordLaunch(attemptId);
-            launchLog.recordLaunch(attemptId, machine.name());
+            launchLog.recordLaunch(attemptId, machine.name(), staleness.viewAgeMs());
         } else if (order instanceof Order.Stop stop) {
             counters.count(Event.STOP_ORDERED);
             LOG.debug(
--- a/src/main/java/org/spoolline/worker/LaunchLog.java
+++ b/src/main/java/org/spoolline/worker/LaunchLog.java
@@ -11,8 +11,8 @@
 import org.spoolline.pipeline.AttemptId;
 
 /**
- * Counts and logs launch orders, each with the stored revision of its job and with the usage and limit of the team,
- * which permit the launch.
+ * Counts and logs launch orders, each with what permits the launch: the stored revision of its job, the usage and limit
+ * of the team, and the age of the leader's view of the jobs.
  */
 final class LaunchLog {
     private static final Logger LOG = LoggerFactory.getLogger(LaunchLog.class);
@@ -27,8 +27,12 @@
         this.counters = counters;
     }
 
-    /** Records that a response to the machine's heartbeat orders the launch of an attempt. */
-    void recordLaunch(AttemptId attemptId, String machine) {
+    /**
+     * Records that a response to the machine's heartbeat orders the launch of an attempt.
+     *
+     * @param viewAgeMs age in ms of the view of the jobs that permits the launch
+     */
+    void recordLaunch(AttemptId attemptId, String machine, long viewAgeMs) {
         counters.count(Event.LAUNCH_ORDERED);
         JobEntry job = jobs.get(attemptId.jobId());
         Attempt attempt = jobs.attemptsOn(machine).get(attemptId);
@@ -48,7 +52,8 @@
                     team);
         }
         LOG.debug(
-                "Ordered launch: job={} task={} attempt={} machine={} revision={} team={} team_cores={} team_limit={}",
+                "Ordered launch: job={} task={} attempt={} machine={} revision={} team={} team_cores={} team_limit={}"
+                        + " view_age_ms={}",
                 attemptId.jobId(),
                 attemptId.task(),
                 attemptId.attempt(),
@@ -56,6 +61,7 @@
                 job.version(),
                 team,
                 quotas.coresUsed(team),
-                quotas.maxCores(team));
+                quotas.maxCores(team),
+                viewAgeMs);
     }
 }
