Confirm a cancellation only once no leader launches without knowing it

Cause: a committed cancellation was taken for its effect. A leader launches stored attempts on a view of the jobs that is up to 4.5 s old; a cut, stalled or late one has not heard of the cancellation. Nobody waited for the message to the leader.

Change: CancellationConfirmer decides for each answer that calls a live job cancelled: confirmation, repetition, status (single and batched) and repeated submission. It may be said once the value has no attempts, the leader has acknowledged (valid lease, jobs read in this term), or leadershipMs has passed since this node knew of the commit. Until then 503 with Retry-After, at once or when the message has timed out after 1 s; nothing is held until that time is over. A reply without a body (production) acknowledges nothing.

JobApiStatusTest and PeerCodecTest for answers and replies.

StaleLeaderTest expected confirmations 2.4 s after the cancellations through controllers that do not reach the leader, which is the fault itself: it now expects committed ones and that none is confirmed yet, and checks cancel_s from the commit in place of the confirmation only, which is stricter; its scenario without listings looks for the first confirmation at 8.9 s instead of 6 s.

--- a/src/main/java/org/spoolline/Controller.java
+++ b/src/main/java/org/spoolline/Controller.java
@@ -3,8 +3,6 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 import org.spoolline.api.JobApi;
 import org.spoolline.autoscaler.Autoscaler;
 import org.spoolline.cluster.MachineRegistry;
@@ -34,8 +32,6 @@
     /** Path on the internal address at which operators read the node's status and counters. */
     public static final String COUNTERS_PATH = "/counters";
 
-    private static final Logger LOG = LoggerFactory.getLogger(Controller.class);
-
     private final EventLoop loop;
     private final Counters counters;
     private final LeaderElection election;
@@ -47,6 +43,7 @@
     private final Scheduler scheduler;
     private final Autoscaler autoscaler;
     private final PeerService peerService;
+    private final LeaderCancellations cancellations;
     private final NodeHealth health;
     private final RequestRouter router;
     private Runnable leaderKnownCallback = () -> {};
@@ -66,8 +63,10 @@
         election = new LeaderElection(loop, random, store, settings, this, counters);
         catalog = new MachineTypeCatalog(loop, http, settings, store);
         versions = new VersionRegistry(loop, store, settings);
-        jobApi = new JobApi(loop, settings, store, catalog, versions, this::cancellationConfirmed);
         StalenessBound staleness = new StalenessBound(loop, settings, election);
+        peerService = new PeerService(loop, http, settings, store, election, new PeerRequestHandler());
+        cancellations = new LeaderCancellations(jobs, staleness, peerService, counters);
+        jobApi = new JobApi(loop, settings, store, catalog, versions, cancellations, counters);
         MachineRegistry machines = new MachineRegistry();
         autoscaler = new Autoscaler(loop, http, settings, election, catalog, machines, this::requestCycle);
         scheduler = new Scheduler(
@@ -86,7 +85,6 @@
                 scheduler,
                 scheduler::machineChanged,
                 counters);
-        peerService = new PeerService(loop, http, settings, store, election, new PeerRequestHandler(), counters);
         health = new NodeHealth(loop, store, catalog, election, heartbeatService, peerService);
         NodeStatus status =
                 new NodeStatus(settings.node(), election, staleness, store, catalog, stallMonitor, counters);
@@ -146,15 +144,6 @@
         autoscaler.steppedDown();
     }
 
-    /**
-     * Handles a cancellation that was confirmed to a user. The leader must stop the job's tasks, so this node marks the
-     * job as cancelled in its own job table, in case it is the leader, and notifies the leader if that is a peer.
-     */
-    private void cancellationConfirmed(String jobId) {
-        jobs.markCancelled(jobId);
-        peerService.notifyLeaderOfCancellation(jobId);
-    }
-
     /** Requests a cycle for the autoscaler, which is created before the scheduler and can't hold a reference to it. */
     private void requestCycle() {
         scheduler.requestCycle();
@@ -193,9 +182,8 @@
         }
 
         @Override
-        public void jobCancelled(String jobId) {
-            LOG.debug("Peer confirmed a cancellation: job={} leading={}", jobId, election.isLeader());
-            jobs.markCancelled(jobId);
+        public boolean acknowledgeCancellation(String jobId) {
+            return cancellations.acknowledge(jobId);
         }
     }
 }
--- a/src/main/java/org/spoolline/api/CancellationHandler.java
+++ b/src/main/java/org/spoolline/api/CancellationHandler.java
@@ -15,25 +15,34 @@
 import org.spoolline.net.Json;
 import org.spoolline.pipeline.Pipeline;
 
-/** Cancels jobs by a compare-and-swap of their live value and confirms a cancellation only after it is committed. */
+/**
+ * Cancels jobs by a compare-and-swap of their live value. A cancellation is confirmed only after it is committed, and
+ * only when {@link CancellationConfirmer} allows it.
+ */
 final class CancellationHandler {
     private static final Logger LOG = LoggerFactory.getLogger(CancellationHandler.class);
 
     private final KeyValueStoreClient store;
     private final JobReader reader;
-    private final Consumer<String> onCancelled;
+    private final CancellationNotifier notifier;
+    private final CancellationConfirmer confirmer;
 
-    /** {@code onCancelled} receives the job id before each response that confirms a cancellation. */
-    CancellationHandler(KeyValueStoreClient store, JobReader reader, Consumer<String> onCancelled) {
+    CancellationHandler(
+            KeyValueStoreClient store,
+            JobReader reader,
+            CancellationNotifier notifier,
+            CancellationConfirmer confirmer) {
         this.store = store;
         this.reader = reader;
-        this.onCancelled = onCancelled;
+        this.notifier = notifier;
+        this.confirmer = confirmer;
     }
 
     /**
      * Cancels a job and responds with its status. A job in a terminal state is not changed. If the job is already
-     * cancelled, the cancellation is confirmed again. After {@link Constants.Api#CANCEL_TRIES} commits that failed
-     * because of concurrent changes, the response asks the client to retry.
+     * cancelled, the cancellation is confirmed again. The response asks the client to retry after
+     * {@link Constants.Api#CANCEL_TRIES} commits that failed because of concurrent changes, and while the cancellation
+     * is committed but may not be confirmed yet.
      */
     void cancel(String jobId, Consumer<Http.Response> responder) {
         cancel(jobId, Constants.Api.CANCEL_TRIES, responder);
@@ -59,7 +68,7 @@
     private void cancelLive(String jobId, StoredJob.Live live, int triesLeft, Consumer<Http.Response> responder) {
         Pipeline pipeline = Pipeline.decode(live.value());
         if (pipeline.cancelled()) {
-            respondCancelled(jobId, responder);
+            respondCancelled(pipeline, responder);
             return;
         }
         if (!store.tryAcquire(1)) {
@@ -72,7 +81,7 @@
         store.commit(transaction, result -> {
             if (result.outcome() == CommitOutcome.APPLIED) {
                 LOG.info("Cancelled job: job={}", jobId);
-                respondCancelled(jobId, responder);
+                respondCancelled(pipeline, responder);
             } else if (isRetryable(result.outcome()) && triesLeft > 1) {
                 cancel(jobId, triesLeft - 1, responder);
             } else {
@@ -100,8 +109,14 @@
         return outcome == CommitOutcome.CONFLICT || outcome == CommitOutcome.TOO_LARGE;
     }
 
-    private void respondCancelled(String jobId, Consumer<Http.Response> responder) {
-        onCancelled.accept(jobId);
-        responder.accept(JobResponseCodec.cancelled(jobId));
+    private void respondCancelled(Pipeline cancelled, Consumer<Http.Response> responder) {
+        if (cancelled.cancelledWithoutAttempts()) {
+            // Its confirmation does not depend on the leader, which then need not place the job's tasks in vain.
+            notifier.notifyLeader(cancelled.jobId(), reply -> {});
+        }
+        confirmer.confirm(
+                cancelled,
+                () -> responder.accept(JobResponseCodec.cancelled(cancelled.jobId())),
+                () -> responder.accept(JobResponseCodec.unavailable()));
     }
 }
--- a/src/main/java/org/spoolline/api/JobApi.java
+++ b/src/main/java/org/spoolline/api/JobApi.java
@@ -5,6 +5,7 @@
 import org.spoolline.config.Settings;
 import org.spoolline.job.JobReader;
 import org.spoolline.kvstore.KeyValueStoreClient;
+import org.spoolline.metrics.Counters;
 import org.spoolline.net.EventLoop;
 import org.spoolline.net.Http;
 import org.spoolline.pipeline.SubmissionCodec;
@@ -24,18 +25,20 @@
     private final StatusHandler statusHandler;
     private final CancellationHandler cancellationHandler;
 
-    /** {@code onCancelled} receives the job id of each cancellation that this node confirms to a client. */
+    /** {@code notifier} notifies the leader of each cancellation that is to be confirmed to a client. */
     public JobApi(
             EventLoop loop,
             Settings settings,
             KeyValueStoreClient store,
             MachineTypeCatalog catalog,
             VersionRegistry versions,
-            Consumer<String> onCancelled) {
+            CancellationNotifier notifier,
+            Counters counters) {
         JobReader reader = new JobReader(store);
         AncestorChecker ancestorChecker = new AncestorChecker(loop, reader, settings.ancestorCacheMs());
-        cancellationHandler = new CancellationHandler(store, reader, onCancelled);
-        statusHandler = new StatusHandler(loop, store, reader, ancestorChecker, cancellationHandler);
+        CancellationConfirmer confirmer = new CancellationConfirmer(loop, settings, notifier, counters);
+        cancellationHandler = new CancellationHandler(store, reader, notifier, confirmer);
+        statusHandler = new StatusHandler(loop, store, reader, ancestorChecker, cancellationHandler, confirmer);
         SubmissionValidator validator = new SubmissionValidator(settings, catalog);
         submissionHandler = new SubmissionHandler(loop, store, versions, validator, ancestorChecker, statusHandler);
     }
--- a/src/main/java/org/spoolline/api/JobResponseCodec.java
+++ b/src/main/java/org/spoolline/api/JobResponseCodec.java
@@ -32,17 +32,17 @@
         return Http.Response.of(201, statusWithoutCounts(pipeline.jobId(), status));
     }
 
-    /** The status of a job that is not in a terminal state. */
+    /** The status of a job that is neither cancelled nor in a terminal state. */
     static Http.Response liveStatus(Pipeline pipeline) {
-        if (pipeline.cancelled()) {
-            return cancelled(pipeline.jobId());
-        }
         int runningTasks = pipeline.attempts().size();
         String status = runningTasks > 0 ? RUNNING : PENDING;
         return Http.Response.of(200, status(pipeline.jobId(), status, pipeline.completedTasks(), runningTasks));
     }
 
-    /** The status of a job that is cancelled but not yet in a terminal state. */
+    /**
+     * The status of a job that is cancelled but not yet in a terminal state. It confirms the cancellation, so only
+     * {@link CancellationConfirmer} permits it.
+     */
     static Http.Response cancelled(String jobId) {
         return Http.Response.of(200, statusWithoutCounts(jobId, CANCELLED));
     }
--- a/src/main/java/org/spoolline/api/StatusHandler.java
+++ b/src/main/java/org/spoolline/api/StatusHandler.java
@@ -26,6 +26,7 @@
     private final JobReader reader;
     private final AncestorChecker ancestorChecker;
     private final CancellationHandler cancellationHandler;
+    private final CancellationConfirmer confirmer;
     private final StatusBatch batch;
     /** Time of this node's last response with a job's status, by job id, in ms of the event loop's clock. */
     private final Map<String, Long> lastRespondedAt = new LruJobCache<>();
@@ -37,12 +38,14 @@
             KeyValueStoreClient store,
             JobReader reader,
             AncestorChecker ancestorChecker,
-            CancellationHandler cancellationHandler) {
+            CancellationHandler cancellationHandler,
+            CancellationConfirmer confirmer) {
         this.loop = loop;
         this.store = store;
         this.reader = reader;
         this.ancestorChecker = ancestorChecker;
         this.cancellationHandler = cancellationHandler;
+        this.confirmer = confirmer;
         batch = new StatusBatch(loop, store, this::respondUnchanged, this::readAgain);
     }
 
@@ -109,13 +112,31 @@
 
     private void respondLive(String jobId, StoredJob.Live live, Consumer<Http.Response> responder) {
         Pipeline pipeline = Pipeline.decode(live.value());
-        List<String> dependencies =
-                pipeline.cancelled() ? List.of() : pipeline.spec().dependencies();
+        if (pipeline.cancelled()) {
+            respondCancelled(pipeline, live.version(), responder);
+            return;
+        }
+        List<String> dependencies = pipeline.spec().dependencies();
         LiveStatus status = new LiveStatus(live.version(), JobResponseCodec.liveStatus(pipeline), dependencies);
         liveStatuses.put(jobId, status);
         respondUnlessAncestorCancelled(jobId, status, responder);
     }
 
+    /**
+     * Responds that the job is cancelled, or asks the client to retry while that may not be confirmed yet. An earlier
+     * status is not an option, since another node may have confirmed the cancellation. The status is cached only once
+     * it is confirmed.
+     */
+    private void respondCancelled(Pipeline cancelled, long version, Consumer<Http.Response> responder) {
+        String jobId = cancelled.jobId();
+        Runnable onConfirmed = () -> {
+            Http.Response response = JobResponseCodec.cancelled(jobId);
+            liveStatuses.put(jobId, new LiveStatus(version, response, List.of()));
+            respond(jobId, response, responder);
+        };
+        confirmer.confirm(cancelled, onConfirmed, () -> responder.accept(JobResponseCodec.unavailable()));
+    }
+
     /**
      * Responds with the status, unless an ancestor of the job is cancelled. In that case the job counts as cancelled
      * even if no leader has recorded that yet. This node then commits the job's cancellation before it responds, since
--- a/src/main/java/org/spoolline/config/Constants.java
+++ b/src/main/java/org/spoolline/config/Constants.java
@@ -154,6 +154,8 @@
         public static final long PEER_PING_MS = 2_000;
         /** Timeout in ms of a request to a peer: shorter than the interval between status requests. */
         public static final long PEER_TIMEOUT_MS = 1_500;
+        /** Timeout in ms of the leader's reply to a cancellation: half of the time that a user waits for a status. */
+        public static final long CANCELLATION_REPLY_TIMEOUT_MS = 1_000;
     }
 
     /** Heartbeats and the machines that send them. */
--- a/src/main/java/org/spoolline/config/Settings.java
+++ b/src/main/java/org/spoolline/config/Settings.java
@@ -177,6 +177,15 @@
         return sentAt + (long) (leadershipMs() * (1 - Constants.Time.DRIFT)) - Constants.Time.MARGIN_MS;
     }
 
+    /**
+     * Time in ms after a commit from which no leader launches a task on a view of the jobs that lacks the commit. Such
+     * a view was read by a request sent before the commit, and {@link #leadershipEndsAt} of that time, which deducts
+     * clock drift and margin, ends the launches. A node may count from any later time, such as that of the response.
+     */
+    public long staleLaunchMs() {
+        return leadershipMs();
+    }
+
     /** Maximum number of idle connections that are kept open: a small share, since workers need most of the sockets. */
     public int idleConnections() {
         return Math.max(
--- a/src/main/java/org/spoolline/election/StalenessBound.java
+++ b/src/main/java/org/spoolline/election/StalenessBound.java
@@ -71,6 +71,16 @@
                 && loop.now() < settings.leadershipEndsAt(viewCompleteAsOf) + settings.keepAliveMs();
     }
 
+    /**
+     * True while this node may acknowledge a cancellation, that is promise that no launch of the job's tasks will be
+     * ordered. It holds the leadership lease, so no other node may launch tasks, and any later leader reads the jobs
+     * after the cancellation. It has read all jobs in this term, so it knows the attempts to which the cancellation
+     * applies.
+     */
+    public boolean mayAcknowledgeCancellations() {
+        return election.hasValidLease() && hasCompleteView();
+    }
+
     /**
      * True while this node may order workers to stop tasks whose jobs are known to be cancelled. A cancellation is
      * never reverted, so this does not depend on the age of the view. A worker that has received a later leader's
--- a/src/main/java/org/spoolline/job/JobTable.java
+++ b/src/main/java/org/spoolline/job/JobTable.java
@@ -127,7 +127,7 @@
     }
 
     /**
-     * Records a cancellation that was confirmed to a user. The table is updated directly because this leader may
+     * Records a cancellation that is committed. The table is updated directly because this leader may
      * observe the cancelled value much later or never.
      */
     public void markCancelled(String jobId) {
--- a/src/main/java/org/spoolline/metrics/Event.java
+++ b/src/main/java/org/spoolline/metrics/Event.java
@@ -72,10 +72,12 @@
     /** A watch on the live jobs failed because the key-value store has compacted the requested history. */
     JOBS_WATCH_COMPACTED,
 
-    /** The leader answered the notification of a cancellation that this node has committed. */
-    CANCELLATION_NOTIFICATION_ANSWERED,
-    /** The leader did not answer the notification of a cancellation, or no leader is known. */
-    CANCELLATION_NOTIFICATION_FAILED,
+    /** The leader acknowledged a cancellation to this node, which may be the leader itself. */
+    CANCELLATION_ACKNOWLEDGED,
+    /** The leader did not reply to the notification of a cancellation or did not acknowledge it, or none is known. */
+    CANCELLATION_NOT_ACKNOWLEDGED,
+    /** A user was asked to retry because a committed cancellation may not be confirmed yet. */
+    CANCELLATION_UNCONFIRMED,
 
     /** This node won an election. */
     ELECTION_WON,
--- a/src/main/java/org/spoolline/peer/PeerCodec.java
+++ b/src/main/java/org/spoolline/peer/PeerCodec.java
@@ -20,6 +20,7 @@
     private static final String STATUS = "status";
     private static final String RETRY_AFTER_S = "retry";
     private static final String CANCELLED_JOB_ID = "uid";
+    private static final String ACKNOWLEDGED = "acknowledged";
 
     private PeerCodec() {}
 
@@ -82,11 +83,23 @@
                 response.path(RETRY_AFTER_S).asInt()));
     }
 
-    /** Encodes the notification that a job's cancellation was confirmed to its user. */
+    /** Encodes the notification that a job's cancellation is committed. */
     static byte[] encodeCancellation(String jobId) {
         return Cbor.bytes(Cbor.object().put(CANCELLED_JOB_ID, jobId));
     }
 
+    /** Encodes the reply to that notification. */
+    static byte[] encodeCancellationReply(boolean acknowledged) {
+        return Cbor.bytes(Cbor.object().put(ACKNOWLEDGED, acknowledged));
+    }
+
+    /** Decodes the reply to that notification. Controllers of the previous version reply without a body. */
+    static CancellationReply decodeCancellationReply(byte[] bytes) {
+        return Cbor.read(bytes).path(ACKNOWLEDGED).asBoolean()
+                ? CancellationReply.ACKNOWLEDGED
+                : CancellationReply.NOT_ACKNOWLEDGED;
+    }
+
     /** Decodes the cancelled job's id; an empty string, which is not a valid job id, if the bytes contain none. */
     static String decodeCancellation(byte[] bytes) {
         return Cbor.read(bytes).path(CANCELLED_JOB_ID).asText();
--- a/src/main/java/org/spoolline/peer/PeerService.java
+++ b/src/main/java/org/spoolline/peer/PeerService.java
@@ -4,14 +4,10 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 import org.spoolline.config.Constants;
 import org.spoolline.config.Settings;
 import org.spoolline.election.LeaderElection;
 import org.spoolline.kvstore.KeyValueStoreClient;
-import org.spoolline.metrics.Counters;
-import org.spoolline.metrics.Event;
 import org.spoolline.net.EventLoop;
 import org.spoolline.net.Http;
 
@@ -23,12 +19,10 @@
  * <p>All methods are called on the event loop.
  */
 public final class PeerService {
-    private static final Logger LOG = LoggerFactory.getLogger(PeerService.class);
     private static final String STATUS_PATH = "/status";
     private static final String FORWARD_PATH = "/forward";
     private static final String CANCELLED_PATH = "/cancelled";
     private static final byte[] NO_BODY = new byte[0];
-    private static final Http.Response OK = Http.Response.of(200, NO_BODY);
     private static final Http.Response BAD_REQUEST = Http.Response.of(400, NO_BODY);
     private static final Http.Response NOT_FOUND = Http.Response.of(404, NO_BODY);
     private static final Http.Response UNAVAILABLE = new Http.Response(503, NO_BODY, Constants.Api.RETRY_AFTER_S);
@@ -43,8 +37,12 @@
         /** True when workers send heartbeats to this node. */
         boolean receivesHeartbeats();
 
-        /** A peer has confirmed to a user that the job is cancelled. */
-        void jobCancelled(String jobId);
+        /**
+         * Handles a peer's notification that the cancellation of the job is committed.
+         *
+         * @return true if this node promises that no launch of the job's tasks will be ordered from now on
+         */
+        boolean acknowledgeCancellation(String jobId);
     }
 
     /** The last status of a peer, and when it was received, in ms of the event loop's clock. */
@@ -56,7 +54,6 @@
     private final KeyValueStoreClient store;
     private final LeaderElection election;
     private final LocalNode localNode;
-    private final Counters counters;
     private final Map<String, ReceivedStatus> statusByNode = new HashMap<>();
 
     /** Creates a service, which sends no message before {@link #start}. */
@@ -66,15 +63,13 @@
             Settings settings,
             KeyValueStoreClient store,
             LeaderElection election,
-            LocalNode localNode,
-            Counters counters) {
+            LocalNode localNode) {
         this.loop = loop;
         this.http = http;
         this.settings = settings;
         this.store = store;
         this.election = election;
         this.localNode = localNode;
-        this.counters = counters;
     }
 
     /** Starts the periodic exchange of statuses with each peer. */
@@ -102,8 +97,8 @@
             }
             case FORWARD_PATH -> handleForwarded(request, responder);
             case CANCELLED_PATH -> {
-                localNode.jobCancelled(PeerCodec.decodeCancellation(request.body()));
-                responder.accept(OK);
+                boolean acknowledged = localNode.acknowledgeCancellation(PeerCodec.decodeCancellation(request.body()));
+                responder.accept(Http.Response.of(200, PeerCodec.encodeCancellationReply(acknowledged)));
             }
             default -> responder.accept(NOT_FOUND);
         }
@@ -120,36 +115,34 @@
     }
 
     /**
-     * Notifies the leader of a cancellation that is committed and that this node confirms to the user. The leader also
-     * observes the cancellation through its watch on the jobs, unless the key-value store rejects only the leader's
-     * requests. Without the notification, the tasks would then run until their workers' leases expire.
+     * Notifies the leader, if it is a peer, that the cancellation of a job is committed. {@code onReply} is called
+     * exactly once, possibly before this method returns. The leader also observes the cancellation through its watch on
+     * the jobs, unless it can't read from the key-value store.
      */
-    public void notifyLeaderOfCancellation(String cancelledJobId) {
-        Optional<String> leader = election.knownLeader();
+    public void notifyLeaderOfCancellation(String cancelledJobId, Consumer<CancellationReply> onReply) {
+        Optional<Settings.Peer> leader = peerThatLeads();
         if (leader.isEmpty()) {
-            recordNotification(cancelledJobId, "unknown", false);
+            onReply.accept(CancellationReply.NO_REPLY);
             return;
         }
-        for (Settings.Peer peer : settings.peers()) {
-            if (peer.node().equals(leader.get())) {
-                byte[] message = PeerCodec.encodeCancellation(cancelledJobId);
-                send(
-                        peer,
-                        CANCELLED_PATH,
-                        message,
-                        reply -> recordNotification(cancelledJobId, peer.node(), reply.ok()));
-            }
-        }
+        http.call(
+                leader.get().address(),
+                "POST",
+                CANCELLED_PATH,
+                PeerCodec.encodeCancellation(cancelledJobId),
+                Constants.Peer.CANCELLATION_REPLY_TIMEOUT_MS,
+                reply -> onReply.accept(cancellationReply(reply)));
     }
 
-    private void recordNotification(String cancelledJobId, String leader, boolean answered) {
-        if (answered) {
-            counters.count(Event.CANCELLATION_NOTIFICATION_ANSWERED);
-            LOG.debug("Leader notified of cancellation: job={} leader={}", cancelledJobId, leader);
-        } else {
-            counters.count(Event.CANCELLATION_NOTIFICATION_FAILED);
-            LOG.info("Leader not notified of cancellation: job={} leader={}", cancelledJobId, leader);
-        }
+    private Optional<Settings.Peer> peerThatLeads() {
+        Optional<String> leader = election.knownLeader();
+        return settings.peers().stream()
+                .filter(peer -> leader.isPresent() && peer.node().equals(leader.get()))
+                .findFirst();
+    }
+
+    private static CancellationReply cancellationReply(Http.Reply reply) {
+        return reply.ok() ? PeerCodec.decodeCancellationReply(reply.body()) : CancellationReply.NO_REPLY;
     }
 
     /**
--- a/src/test/java/org/spoolline/api/JobApiFixture.java
+++ b/src/test/java/org/spoolline/api/JobApiFixture.java
@@ -16,9 +16,12 @@
 import org.spoolline.config.SettingsException;
 import org.spoolline.config.SettingsFile;
 import org.spoolline.kvstore.KeyValueStoreClient;
+import org.spoolline.metrics.Counters;
 import org.spoolline.net.FakeEventLoop;
 import org.spoolline.net.Http;
 import org.spoolline.net.Json;
+import org.spoolline.peer.CancellationReply;
+import org.spoolline.pipeline.Attempt;
 import org.spoolline.pipeline.Pipeline;
 import org.spoolline.pipeline.SubmissionCodec;
 import org.spoolline.upgrade.VersionRegistry;
@@ -42,13 +45,16 @@
     private record Stored(JsonNode value, long version) {}
 
     final FakeEventLoop loop = new FakeEventLoop();
+    final Settings settings;
     final KeyValueStoreClient store;
     final MachineTypeCatalog catalog;
     final JobApi api;
     /** Method and path of each request to the key-value store. */
     final List<String> storeRequests = new ArrayList<>();
-    /** Ids of the jobs whose cancellation the API has confirmed, in order. */
-    final List<String> confirmedCancellations = new ArrayList<>();
+    /** Ids of the jobs of whose cancellation the API has notified the leader, in order. */
+    final List<String> notifiedCancellations = new ArrayList<>();
+    /** The leader's reply to these notifications. */
+    CancellationReply leaderReply = CancellationReply.ACKNOWLEDGED;
     /** Statuses that the store returns for the next transactions, in order, without processing them. */
     final List<Integer> overriddenCommitStatuses = new ArrayList<>();
 
@@ -57,13 +63,13 @@
     private long revision;
 
     JobApiFixture() throws SettingsException {
-        Settings settings = SettingsFile.parse(SampleSettings.NODE
+        settings = SettingsFile.parse(SampleSettings.NODE
                 .replace("cpus_max = 2.0", "cpus_max = 12.0")
                 .replace("gpus_max = 0.0", "gpus_max = 1.0"));
         store = new KeyValueStoreClient(loop, this::call, settings);
         catalog = new MachineTypeCatalog(loop, this::call, settings, store);
         VersionRegistry versions = new VersionRegistry(loop, store, settings);
-        api = new JobApi(loop, settings, store, catalog, versions, confirmedCancellations::add);
+        api = new JobApi(loop, settings, store, catalog, versions, this::notifyLeader, new Counters(loop));
         loop.runTo(10_000);
     }
 
@@ -112,6 +118,20 @@
         put("job/" + pipeline.jobId(), pipeline.encode());
     }
 
+    /** Stores the live value of a job whose only task has an attempt. */
+    void acceptWithAttempt(ObjectNode submission) throws SubmissionCodec.Malformed {
+        Pipeline pipeline = Pipeline.accept(SubmissionCodec.parse(submission), submission, 0);
+        pipeline.addAttempt(new Attempt(0, 1, "m-000001", 1));
+        put("job/" + pipeline.jobId(), pipeline.encode());
+    }
+
+    /** The live value after a cancellation. */
+    static ObjectNode cancelled(JsonNode value) {
+        Pipeline pipeline = Pipeline.decode(value);
+        pipeline.cancel();
+        return pipeline.encode();
+    }
+
     /** Spends the request budget so far that status requests are batched for the next few tenths of a second. */
     void spendRequestBudgetUntilLow() {
         while (!store.requestBudgetLow()) {
@@ -155,6 +175,11 @@
         return response.status() + retryAfter + " " + new String(response.body(), UTF_8);
     }
 
+    private void notifyLeader(String jobId, Consumer<CancellationReply> onReply) {
+        notifiedCancellations.add(jobId);
+        onReply.accept(leaderReply);
+    }
+
     private void call(
             String target, String method, String path, byte[] body, long timeoutMs, Consumer<Http.Reply> done) {
         if (path.equals("/machine_types")) {
--- a/src/test/java/org/spoolline/api/JobApiStatusTest.java
+++ b/src/test/java/org/spoolline/api/JobApiStatusTest.java
@@ -6,9 +6,11 @@
 import java.util.List;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.spoolline.config.Constants;
 import org.spoolline.config.SettingsException;
 import org.spoolline.net.Http;
 import org.spoolline.net.Json;
+import org.spoolline.peer.CancellationReply;
 import org.spoolline.pipeline.SubmissionCodec;
 import org.spoolline.upgrade.ProductionSamples;
 
@@ -83,12 +85,87 @@
         assertEquals(List.of(READ_LIVE), drainStoreRequests());
         assertEquals(ABORTED, status());
         assertEquals(ABORTED, fixture.submit(JobApiFixture.submission()));
-        assertEquals(List.of("run-1", "run-1"), fixture.confirmedCancellations);
+        assertEquals(List.of("run-1", "run-1"), fixture.notifiedCancellations);
         recordTerminalState("run-1", "{\"end\":\"aborted\",\"done\":0}");
         String terminal = "200 {\"uid\":\"run-1\",\"status\":\"aborted\",\"done\":0,\"running\":0}";
         assertEquals(terminal, cancel());
         assertEquals(terminal, status());
-        assertEquals(2, fixture.confirmedCancellations.size());
+        assertEquals(2, fixture.notifiedCancellations.size());
+    }
+
+    /**
+     * Guards against a confirmation while a leader that has not heard of the cancellation may still launch the job's
+     * stored attempts. No response may say that the job is cancelled, nor that it is not.
+     */
+    @Test
+    void confirmsCancellationOfJobWithAttemptsOnlyOnceLeaderAcknowledged() throws SubmissionCodec.Malformed {
+        for (CancellationReply reply : List.of(CancellationReply.NO_REPLY, CancellationReply.NOT_ACKNOWLEDGED)) {
+            fixture.acceptWithAttempt(JobApiFixture.submission());
+            fixture.leaderReply = reply;
+            assertEquals(UNAVAILABLE, cancel());
+            assertEquals(true, fixture.value("job/run-1").path("cancelled").asBoolean());
+            assertEquals(UNAVAILABLE, cancel());
+            assertEquals(UNAVAILABLE, status());
+            assertEquals(UNAVAILABLE, fixture.submit(JobApiFixture.submission()));
+        }
+        fixture.leaderReply = CancellationReply.ACKNOWLEDGED;
+        assertEquals(ABORTED, status());
+        fixture.leaderReply = CancellationReply.NO_REPLY;
+        assertEquals(ABORTED, cancel());
+        assertEquals(ABORTED, status());
+        assertEquals(ABORTED, fixture.submit(JobApiFixture.submission()));
+        assertEquals(9, fixture.notifiedCancellations.size());
+    }
+
+    /** Without the leader, a cancellation is confirmed once no leader may launch on a view from before it. */
+    @Test
+    void confirmsCancellationOnceLaunchesOnStaleViewsHaveEnded() throws SubmissionCodec.Malformed {
+        fixture.acceptWithAttempt(JobApiFixture.submission());
+        fixture.leaderReply = CancellationReply.NO_REPLY;
+        long staleLaunchMs = fixture.settings.staleLaunchMs();
+        long committedAt = fixture.loop.now();
+        assertEquals(UNAVAILABLE, cancel());
+        fixture.loop.runTo(committedAt + staleLaunchMs - 1);
+        assertEquals(UNAVAILABLE, cancel());
+        assertEquals(UNAVAILABLE, status());
+        fixture.loop.runTo(committedAt + staleLaunchMs);
+        assertEquals(ABORTED, status());
+        assertEquals(ABORTED, cancel());
+    }
+
+    /** A node that reads a cancellation which another one committed doesn't know when that was. */
+    @Test
+    void countsFromFirstReadOfCancellationByAnotherNode() throws SubmissionCodec.Malformed {
+        fixture.acceptWithAttempt(JobApiFixture.submission());
+        fixture.leaderReply = CancellationReply.NO_REPLY;
+        fixture.put("job/run-1", JobApiFixture.cancelled(fixture.value("job/run-1")));
+        fixture.loop.runTo(fixture.loop.now() + 2 * fixture.settings.staleLaunchMs());
+        assertEquals(UNAVAILABLE, status());
+        fixture.loop.runTo(fixture.loop.now() + fixture.settings.staleLaunchMs());
+        assertEquals(ABORTED, status());
+    }
+
+    /** A batch of status requests reports a cancellation only once it is confirmed, and then from the cache. */
+    @Test
+    void batchReportsNoUnconfirmedCancellation() throws SubmissionCodec.Malformed {
+        fixture.acceptWithAttempt(JobApiFixture.submission());
+        status();
+        fixture.loop.runTo(fixture.loop.now() + Constants.Api.STATUS_LOW_PRIORITY_MS);
+        fixture.put("job/run-1", JobApiFixture.cancelled(fixture.value("job/run-1")));
+        fixture.leaderReply = CancellationReply.NO_REPLY;
+        assertEquals(List.of(UNAVAILABLE, UNAVAILABLE), batchedStatuses());
+        fixture.leaderReply = CancellationReply.ACKNOWLEDGED;
+        assertEquals(ABORTED, status());
+        drainStoreRequests();
+        assertEquals(List.of(ABORTED, ABORTED), batchedStatuses());
+        assertEquals(List.of(COMMIT), drainStoreRequests());
+    }
+
+    private List<String> batchedStatuses() {
+        fixture.spendRequestBudgetUntilLow();
+        List<String> responses = requestStatuses("run-1", "run-1");
+        fixture.loop.runTo(fixture.loop.now() + Constants.Api.STATUS_BATCH_MS);
+        return responses;
     }
 
     @Test
@@ -123,7 +200,7 @@
         fixture.loop.runTo(60_000);
         recordTerminalState("run-2", "{\"end\":\"aborted\",\"done\":0}");
         assertEquals(ABORTED, status());
-        assertEquals(List.of("run-1"), fixture.confirmedCancellations);
+        assertEquals(List.of("run-1"), fixture.notifiedCancellations);
         assertEquals(
                 "201 {\"uid\":\"run-3\",\"status\":\"aborted\"}",
                 fixture.submit(JobApiFixture.submission("uid", "\"run-3\"", "waitsOn", "[\"run-1\"]")));
--- a/src/test/java/org/spoolline/peer/PeerCodecTest.java
+++ b/src/test/java/org/spoolline/peer/PeerCodecTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.spoolline.net.Http;
 import org.spoolline.upgrade.ProductionSamples;
@@ -42,6 +43,17 @@
         assertEquals("run-000001", PeerCodec.decodeCancellation(PeerCodec.encodeCancellation("run-000001")));
     }
 
+    /** A reply without a body, as of the version in production, must not pass for an acknowledgement. */
+    @Test
+    void acknowledgesCancellationOnlyExplicitly() {
+        assertEquals(
+                CancellationReply.ACKNOWLEDGED,
+                PeerCodec.decodeCancellationReply(PeerCodec.encodeCancellationReply(true)));
+        for (byte[] reply : List.of(PeerCodec.encodeCancellationReply(false), new byte[0], INVALID_CBOR, BODY)) {
+            assertEquals(CancellationReply.NOT_ACKNOWLEDGED, PeerCodec.decodeCancellationReply(reply));
+        }
+    }
+
     @Test
     void rejectsInvalidMessages() {
         assertTrue(PeerCodec.decodeStatus(INVALID_CBOR).isEmpty());
--- a/src/test/java/org/spoolline/simulation/FakeWorker.java
+++ b/src/test/java/org/spoolline/simulation/FakeWorker.java
@@ -190,13 +190,13 @@
         long sentAt = simulation.now();
         long sentIncarnation = incarnation;
         Http.Request request = new Http.Request("POST", "/checkin", "", Json.bytes(heartbeat()));
-        simulation.network.call(name, heartbeatTarget() + ":1", request, RESPONSE_TIMEOUT_MS, reply -> {
+        simulation.network.call(name, heartbeatTarget() + ":1", request, RESPONSE_TIMEOUT_MS, (reply, answeredAt) -> {
             heartbeatInFlight = false;
             if (down || hanging) {
                 return;
             }
             if (reply.status() == 200) {
-                applyResponse(Json.read(reply.body()), sentAt, sentIncarnation);
+                applyResponse(Json.read(reply.body()), sentAt, sentIncarnation, answeredAt);
                 simulation.at(2_250 + simulation.random.nextInt(1_500), this::sendHeartbeat);
                 if (heartbeatRequested) {
                     requestHeartbeat();
@@ -240,7 +240,7 @@
      * Renews the lease and executes the commands of a heartbeat response. Ignores a response to a heartbeat of an
      * earlier incarnation, and one with a fencing token lower than the highest received.
      */
-    private void applyResponse(JsonNode response, long sentAt, long sentIncarnation) {
+    private void applyResponse(JsonNode response, long sentAt, long sentIncarnation, long answeredAt) {
         if (sentIncarnation != incarnation
                 || !response.has("baton")
                 || response.path("baton").asLong() < token) {
@@ -248,7 +248,7 @@
         }
         adoptTokenIfNewer(response.path("baton").asLong());
         leaseRenewedAt = sentAt;
-        response.path("orders").forEach(tasks::execute);
+        response.path("orders").forEach(order -> tasks.execute(order, answeredAt));
     }
 
     private void adoptTokenIfNewer(long newToken) {
@@ -274,7 +274,7 @@
             return;
         }
         adoptTokenIfNewer(commandToken);
-        body.path("orders").forEach(tasks::execute);
+        body.path("orders").forEach(order -> tasks.execute(order, simulation.now()));
         reply.accept(Http.Response.of(200, new byte[0]));
     }
 }
--- a/src/test/java/org/spoolline/simulation/InvariantChecker.java
+++ b/src/test/java/org/spoolline/simulation/InvariantChecker.java
@@ -16,7 +16,6 @@
  * not read the state of the controllers. {@link ServiceLevelChecker} checks the time limits.
  */
 public final class InvariantChecker {
-    private static final long REQUEST_TIMEOUT_MS = 4_000;
     private static final double ROUNDING_TOLERANCE = 1e-6;
     private static final String DONE = "done";
     private static final String CANCELLED = "aborted";
@@ -80,15 +79,19 @@
     // --- events of tasks
 
     /**
-     * Records that a worker received a launch command. A deposed leader may not know of a cancellation and may send
-     * launches until its leadership expires, so launches are allowed for that time plus the request timeout after the
-     * user was told of the cancellation. A later launch is a violation.
+     * Records that a worker received a launch command. After the user was told that the job is cancelled, no leader may
+     * order a launch. A command that was ordered before and is still on its way is allowed; the worker drops it if it
+     * arrives too late.
+     *
+     * @param orderedAt simulated time in ms at which a controller gave the command
      */
-    void launchReceived(SimulatedTask task) {
+    void launchReceived(SimulatedTask task, long orderedAt) {
         Long cancelledAtMs = cancelledAt.get(task.jobId());
-        if (cancelledAtMs != null
-                && simulation.now() > cancelledAtMs + settings().leadershipMs() + REQUEST_TIMEOUT_MS) {
-            addViolation("started_cancelled", task.taskId() + ", cancelled at " + cancelledAtMs / 1000.0 + " s");
+        if (cancelledAtMs != null && orderedAt > cancelledAtMs) {
+            addViolation(
+                    "started_cancelled",
+                    task.taskId() + ", cancelled at " + cancelledAtMs / 1000.0 + " s, ordered at " + orderedAt / 1000.0
+                            + " s");
         }
     }
 
--- a/src/test/java/org/spoolline/simulation/InvariantCheckerTest.java
+++ b/src/test/java/org/spoolline/simulation/InvariantCheckerTest.java
@@ -142,6 +142,20 @@
 
     @Test
     void detectsLaunchAfterCancellationQuotaExcessAndUnknownJob() {
+        Simulation simulation = launchAfterCancellation(12_000);
+        assertViolated(simulation, "started_cancelled");
+        assertViolated(simulation, "quota");
+        assertViolated(simulation, "invented");
+    }
+
+    /** A launch that is ordered within the time of a leadership lease after the confirmation is a violation too. */
+    @Test
+    void detectsLaunchOrderedSoonAfterCancellation() {
+        assertViolated(launchAfterCancellation(100), "started_cancelled");
+    }
+
+    /** A scheduler that launches a job's tasks only from the given time in ms after the job's cancellation on. */
+    private static Simulation launchAfterCancellation(long delayMs) {
         Simulation simulation = new Simulation(5);
         boolean[] launching = new boolean[1];
         SimulatedJob job = simulation.users.job("red", "batch", 5, 8, 500);
@@ -166,12 +180,10 @@
         simulation.users.submit(job);
         simulation.run(3);
         simulation.users.cancel(job);
-        simulation.at(12_000, () -> launching[0] = true);
+        simulation.at(delayMs, () -> launching[0] = true);
         simulation.users.pollUnknownJob(status -> assertEquals(200, status));
         simulation.run(30);
-        assertViolated(simulation, "started_cancelled");
-        assertViolated(simulation, "quota");
-        assertViolated(simulation, "invented");
+        return simulation;
     }
 
     /**
--- a/src/test/java/org/spoolline/simulation/Network.java
+++ b/src/test/java/org/spoolline/simulation/Network.java
@@ -47,6 +47,16 @@
         void receive(Message message, Consumer<Http.Response> reply, Runnable connectionRefused);
     }
 
+    /** Receives the outcome of a request. */
+    interface ReplyHandler {
+        /**
+         * Handles the reply, whose status is 0 after a timeout or a refused connection.
+         *
+         * @param answeredAt simulated time in ms at which the target gave the response, before it was on its way
+         */
+        void handle(Http.Reply reply, long answeredAt);
+    }
+
     private final EventQueue events;
     private final SplittableRandom random;
     private final Receiver receiver;
@@ -133,12 +143,20 @@
      * timeout or a refused connection.
      */
     void call(String from, String target, Http.Request request, long timeoutMs, Consumer<Http.Reply> done) {
-        Consumer<Http.Reply> traced = digest.map(
-                        messageDigest -> messageDigest.addRequest(events::now, from, target, request, done))
-                .orElse(done);
+        call(from, target, request, timeoutMs, (reply, answeredAt) -> done.accept(reply));
+    }
+
+    /** As the other method, for a caller that also needs the time at which the response was given. */
+    void call(String from, String target, Http.Request request, long timeoutMs, ReplyHandler done) {
+        Consumer<Http.Reply> trace = digest.map(
+                        messageDigest -> messageDigest.addRequest(events::now, from, target, request, reply -> {}))
+                .orElse(reply -> {});
         Message message = new Message(from, target, request);
-        OpenRequest openRequest = new OpenRequest(from, isWorker(message.host()), traced);
-        events.schedule(timeoutMs, () -> openRequest.end(Http.Reply.NONE));
+        OpenRequest openRequest = new OpenRequest(from, isWorker(message.host()), (reply, answeredAt) -> {
+            trace.accept(reply);
+            done.handle(reply, answeredAt);
+        });
+        events.schedule(timeoutMs, () -> openRequest.endWithoutReply());
         if (blockedOutbound.contains(from)) {
             return;
         }
@@ -147,19 +165,24 @@
                     MIN_DUPLICATE_DELAY_MS + random.nextLong(duplicateDelaySpreadMs),
                     () -> receiver.receive(message, response -> {}, () -> {}));
         }
-        Consumer<Http.Response> reply = response -> deliver(
-                message.host(), from, () -> openRequest.end(new Http.Reply(response.status(), response.body())));
-        deliver(from, message.host(), () -> receiver.receive(message, reply, () -> openRequest.end(Http.Reply.NONE)));
+        Consumer<Http.Response> reply = response -> {
+            long answeredAt = events.now();
+            deliver(
+                    message.host(),
+                    from,
+                    () -> openRequest.end(new Http.Reply(response.status(), response.body()), answeredAt));
+        };
+        deliver(from, message.host(), () -> receiver.receive(message, reply, () -> openRequest.endWithoutReply()));
     }
 
     /** A pending request. The first reply or the timeout completes it; later replies are dropped. */
     private final class OpenRequest {
         private final String from;
         private final boolean toWorker;
-        private final Consumer<Http.Reply> done;
+        private final ReplyHandler done;
         private boolean ended;
 
-        OpenRequest(String from, boolean toWorker, Consumer<Http.Reply> done) {
+        OpenRequest(String from, boolean toWorker, ReplyHandler done) {
             this.from = from;
             this.toWorker = toWorker;
             this.done = done;
@@ -168,7 +191,11 @@
             }
         }
 
-        void end(Http.Reply reply) {
+        void endWithoutReply() {
+            end(Http.Reply.NONE, events.now());
+        }
+
+        void end(Http.Reply reply, long answeredAt) {
             if (ended) {
                 return;
             }
@@ -176,7 +203,7 @@
             if (toWorker) {
                 requestsToWorkers.merge(from, -1, Integer::sum);
             }
-            done.accept(reply);
+            done.handle(reply, answeredAt);
         }
     }
 
--- a/src/test/java/org/spoolline/simulation/StaleLeaderTest.java
+++ b/src/test/java/org/spoolline/simulation/StaleLeaderTest.java
@@ -11,12 +11,14 @@
 import org.junit.jupiter.params.provider.MethodSource;
 
 /**
- * The leader's view of the jobs is stale: it lacks cancellations that other controllers have confirmed to users. Then
+ * The leader's view of the jobs is stale: it lacks cancellations that other controllers have committed. Then
  * the key-value store is down for longer than cancel_s, while workers keep sending heartbeats to that leader. The
  * leader must not renew their leases for so long that a task runs for more than cancel_s after the confirmation of its
  * cancellation.
  */
 class StaleLeaderTest {
+    private static final long COMMIT_CHECK_INTERVAL_MS = 20;
+
     /** A simulation with six long-running jobs, and its leader before the first fault. */
     private static final class LongJobs {
         final Simulation simulation;
@@ -47,7 +49,7 @@
 
         long runningTasksOfCancelledJobs() {
             return runningTasks()
-                    .filter(t -> simulation.users.job(t.jobId()).status().equals("aborted"))
+                    .filter(t -> isCancellationCommitted(simulation.users.job(t.jobId())))
                     .count();
         }
 
@@ -55,10 +57,43 @@
             jobs.forEach(simulation.users::cancel);
         }
 
+        long runningTasks(SimulatedJob job) {
+            return runningTasks().filter(t -> t.jobId().equals(job.jobId())).count();
+        }
+
+        boolean isCancellationCommitted(SimulatedJob job) {
+            return !simulation.store.value("final/" + job.jobId()).isMissingNode()
+                    || simulation
+                            .store
+                            .value("job/" + job.jobId())
+                            .path("cancelled")
+                            .asBoolean();
+        }
+
+        /**
+         * Checks that no task of the job runs cancel_s after its cancellation was committed. The user is told at that
+         * time or later, so this is at least as strict as the invariant.
+         */
+        void checkBoundFromCommit(SimulatedJob job) {
+            if (!isCancellationCommitted(job)) {
+                simulation.at(COMMIT_CHECK_INTERVAL_MS, () -> checkBoundFromCommit(job));
+                return;
+            }
+            simulation.at(
+                    simulation.settings("node-0").workers().cancelMs(),
+                    () -> assertEquals(0, runningTasks(job), "running tasks of " + job.jobId()));
+        }
+
         long confirmedCancellations() {
             return jobs.stream().filter(j -> j.status().equals("aborted")).count();
         }
 
+        void assertSomeCancellationsCommitted() {
+            assertTrue(
+                    jobs.stream().anyMatch(this::isCancellationCommitted),
+                    "expected at least one committed cancellation");
+        }
+
         void assertSomeCancellationsConfirmed() {
             assertTrue(confirmedCancellations() > 0, "expected at least one confirmed cancellation");
         }
@@ -67,6 +102,7 @@
     /** Injects faults into a run: every cancellation must be confirmed and no invariant may be violated. */
     private static void runScenario(int seed, double seconds, BiConsumer<LongJobs, Simulation> faults) {
         LongJobs longJobs = new LongJobs(seed);
+        longJobs.jobs.forEach(longJobs::checkBoundFromCommit);
         faults.accept(longJobs, longJobs.simulation);
         longJobs.simulation.run(seconds);
         assertEquals(List.of(), longJobs.simulation.invariants.violations(), "seed " + seed);
@@ -104,7 +140,11 @@
             simulation.store.rejectHost(longJobs.leader, 14);
             simulation.at(200, longJobs::cancelAll);
             simulation.at(2_600, () -> {
-                longJobs.assertSomeCancellationsConfirmed();
+                longJobs.assertSomeCancellationsCommitted();
+                assertEquals(
+                        peersReachLeader,
+                        longJobs.confirmedCancellations() > 0,
+                        "whether a cancellation is confirmed before a leader that peers can't reach stops launching");
                 assertTrue(
                         peersReachLeader || longJobs.runningTaskCount() > 0,
                         "expected running tasks when the outage begins");
@@ -115,7 +155,7 @@
                     () -> assertEquals(
                             peersReachLeader,
                             longJobs.runningTasksOfCancelledJobs() == 0,
-                            "whether all tasks of jobs with a confirmed cancellation have terminated"));
+                            "whether all tasks of jobs with a committed cancellation have terminated"));
             simulation.at(
                     10_000,
                     () -> assertTrue(
@@ -175,7 +215,8 @@
             simulation.store.dropListings(100);
             simulation.controllers.crashFor(longJobs.leader, 0.3);
             simulation.at(100, longJobs::cancelAll);
-            simulation.at(6_000, longJobs::assertSomeCancellationsConfirmed);
+            // No leader can acknowledge a cancellation, so each is confirmed once launches without it have ended.
+            simulation.at(8_900, longJobs::assertSomeCancellationsConfirmed);
             for (int i = 1; i <= 10; i++) {
                 simulation.at(i * 9_000L, () -> simulation.controllers.crashFor(Workloads.leader(simulation), 0.3));
             }
--- a/src/test/java/org/spoolline/simulation/WorkerTasks.java
+++ b/src/test/java/org/spoolline/simulation/WorkerTasks.java
@@ -61,8 +61,12 @@
         }
     }
 
-    /** Executes one command of the leader. Commands are idempotent. */
-    void execute(JsonNode command) {
+    /**
+     * Executes one command of the leader. Commands are idempotent.
+     *
+     * @param orderedAt simulated time in ms at which the leader gave the command
+     */
+    void execute(JsonNode command, long orderedAt) {
         String taskId = command.path("slip").asText();
         long attempt = command.path("try").asLong();
         String attemptId = taskId + "#" + attempt;
@@ -70,7 +74,7 @@
         switch (command.path("verb").asText()) {
             case "launch" -> {
                 if (existing == null) {
-                    launch(attemptId, new SimulatedTask(simulation.invariants, worker, taskId, attempt));
+                    launch(attemptId, new SimulatedTask(simulation.invariants, worker, taskId, attempt), orderedAt);
                 }
             }
             case "kill" -> {
@@ -88,7 +92,7 @@
         }
     }
 
-    private void launch(String attemptId, SimulatedTask task) {
+    private void launch(String attemptId, SimulatedTask task, long orderedAt) {
         Optional<ExitCause> rejectionCause = rejectionCause(task);
         tasks.put(attemptId, task);
         if (rejectionCause.isPresent()) {
@@ -96,7 +100,7 @@
             return;
         }
         worker.requestHeartbeat();
-        simulation.invariants.launchReceived(task);
+        simulation.invariants.launchReceived(task, orderedAt);
         String image = jobOf(task).image();
         long pullMs = cachedImages.contains(image) ? CACHED_IMAGE_PULL_MS : simulation.users.imagePullMs(task.jobId());
         simulation.at(pullMs, () -> imagePulled(task, image));
