--- a/src/main/java/org/spoolline/api/SubmissionValidator.java
+++ b/src/main/java/org/spoolline/api/SubmissionValidator.java
@@ -13,9 +13,8 @@
  */
 final class SubmissionValidator {
     /** Cores or accelerators by which a demand may exceed a limit because of floating-point rounding. */
-    private static final double ROUNDING_TOLERANCE = 1e-6;
-
     private final Settings settings;
+
     private final MachineTypeCatalog catalog;
 
     SubmissionValidator(Settings settings, MachineTypeCatalog catalog) {
@@ -54,8 +53,7 @@
 
     private static boolean exceedsTeamLimit(Submission job, Settings.Team team) {
         int concurrentTasks = job.gang() ? job.tasks() : 1;
-        return job.cores() * concurrentTasks > team.maxCores() + ROUNDING_TOLERANCE
-                || job.accelerators() * concurrentTasks > team.maxAccelerators() + ROUNDING_TOLERANCE;
+        return !team.allows(job.cores() * concurrentTasks, job.accelerators() * concurrentTasks);
     }
 
     /** True for a spread gang: all its tasks run at the same time, and at most half of them may be in one zone. */
--- a/src/main/java/org/spoolline/config/Settings.java
+++ b/src/main/java/org/spoolline/config/Settings.java
@@ -63,6 +63,18 @@
             double maxAccelerators) {
         /** The limit of a team that may use all resources that other teams leave free. */
         public static final double UNLIMITED = Double.POSITIVE_INFINITY;
+
+        /** True when this usage is within the limits, up to rounding errors. */
+        public boolean allows(double cores, double accelerators) {
+            return cores <= maxCores + Constants.Placement.EPSILON
+                    && accelerators <= maxAccelerators + Constants.Placement.EPSILON;
+        }
+
+        /** True when this usage is within the guaranteed resources, up to rounding errors. */
+        public boolean guarantees(double cores, double accelerators) {
+            return cores <= guaranteedCores + Constants.Placement.EPSILON
+                    && accelerators <= guaranteedAccelerators + Constants.Placement.EPSILON;
+        }
     }
 
     /**
--- a/src/main/java/org/spoolline/job/TeamQuotas.java
+++ b/src/main/java/org/spoolline/job/TeamQuotas.java
@@ -1,6 +1,5 @@
 package org.spoolline.job;
 
-import org.spoolline.config.Constants;
 import org.spoolline.config.Settings;
 
 /**
@@ -8,6 +7,9 @@
  * only.
  */
 public final class TeamQuotas {
+    /** The limits of a team that is not in the settings. */
+    private static final Settings.Team NOTHING_ALLOWED = new Settings.Team("", 0, 0, 0, 0);
+
     private final Settings settings;
     private final JobTable jobs;
 
@@ -24,15 +26,15 @@
 
     /** The team's limit in cores; 0 for a team that is not in the settings. */
     public double maxCores(String team) {
-        Settings.Team limits = settings.teams().get(team);
-        return limits == null ? 0 : limits.maxCores();
+        return limits(team).maxCores();
     }
 
     /** True when the team's active attempts, launched or not, exceed its limit in cores or accelerators. */
     public boolean exceeded(String team) {
-        Settings.Team limits = settings.teams().get(team);
-        double maxAccelerators = limits == null ? 0 : limits.maxAccelerators();
-        return jobs.coresUsed(team) > maxCores(team) + Constants.Placement.EPSILON
-                || jobs.acceleratorsUsed(team) > maxAccelerators + Constants.Placement.EPSILON;
+        return !limits(team).allows(jobs.coresUsed(team), jobs.acceleratorsUsed(team));
+    }
+
+    private Settings.Team limits(String team) {
+        return settings.teams().getOrDefault(team, NOTHING_ALLOWED);
     }
 }
--- a/src/main/java/org/spoolline/peer/PeerService.java
+++ b/src/main/java/org/spoolline/peer/PeerService.java
@@ -80,7 +80,7 @@
     }
 
     private void exchangeStatus(Settings.Peer peer) {
-        send(peer, STATUS_PATH, PeerCodec.encode(localStatus()), reply -> {
+        send(peer, STATUS_PATH, PeerCodec.encode(localStatus()), Constants.Peer.PEER_TIMEOUT_MS, reply -> {
             if (reply.ok()) {
                 recordStatus(reply.body());
             }
@@ -125,9 +125,8 @@
             onReply.accept(CancellationReply.NO_REPLY);
             return;
         }
-        http.call(
-                leader.get().address(),
-                "POST",
+        send(
+                leader.get(),
                 CANCELLED_PATH,
                 PeerCodec.encodeCancellation(cancelledJobId),
                 Constants.Peer.CANCELLATION_REPLY_TIMEOUT_MS,
@@ -158,6 +157,7 @@
                         peer,
                         FORWARD_PATH,
                         PeerCodec.encode(request),
+                        Constants.Peer.PEER_TIMEOUT_MS,
                         reply -> responder.accept(forwardedResponse(reply)));
                 return true;
             }
@@ -197,7 +197,7 @@
         });
     }
 
-    private void send(Settings.Peer peer, String path, byte[] message, Consumer<Http.Reply> onReply) {
-        http.call(peer.address(), "POST", path, message, Constants.Peer.PEER_TIMEOUT_MS, onReply);
+    private void send(Settings.Peer peer, String path, byte[] message, long timeoutMs, Consumer<Http.Reply> onReply) {
+        http.call(peer.address(), "POST", path, message, timeoutMs, onReply);
     }
 }
--- a/src/main/java/org/spoolline/scheduler/TeamUsage.java
+++ b/src/main/java/org/spoolline/scheduler/TeamUsage.java
@@ -22,14 +22,12 @@
 
     /** True when the total is within the team's guaranteed share. */
     boolean isWithinGuarantee(Settings.Team team) {
-        return cores <= team.guaranteedCores() + Constants.Placement.EPSILON
-                && accelerators <= team.guaranteedAccelerators() + Constants.Placement.EPSILON;
+        return team.guarantees(cores, accelerators);
     }
 
     /** True when the total is within the team's limits. */
     boolean isWithinLimit(Settings.Team team) {
-        return cores <= team.maxCores() + Constants.Placement.EPSILON
-                && accelerators <= team.maxAccelerators() + Constants.Placement.EPSILON;
+        return team.allows(cores, accelerators);
     }
 
     /** The number of further tasks of the job that the team's limits allow. */
--- a/src/main/java/org/spoolline/worker/OrderPlanner.java
+++ b/src/main/java/org/spoolline/worker/OrderPlanner.java
@@ -66,7 +66,8 @@
     boolean hasUnreportedAttempt(Machine machine) {
         for (Map.Entry<AttemptId, Attempt> entry :
                 jobs.attemptsOn(machine.name()).entrySet()) {
-            if (isUnreported(machine, entry.getKey(), entry.getValue()) && isActive(entry.getKey(), entry.getValue())) {
+            if (isUnreported(machine, entry.getKey(), entry.getValue())
+                    && isActive(jobs.get(entry.getKey().jobId()), entry.getValue())) {
                 return true;
             }
         }
@@ -99,10 +100,11 @@
                 }
                 continue;
             }
-            if (isStored && !isActive(attemptId, attempt)) {
+            JobEntry job = jobs.get(attemptId.jobId());
+            if (isStored && !isActive(job, attempt)) {
                 counters.count(Event.HEARTBEAT_LISTED_RELEASED_ATTEMPT);
             }
-            OptionalDouble graceS = isStored ? stopGraceS(attemptId, attempt) : OptionalDouble.of(0);
+            OptionalDouble graceS = isStored ? stopGraceS(job, attemptId, attempt) : OptionalDouble.of(0);
             if (graceS.isPresent() && !isStoppingGracefully(phase, graceS.getAsDouble())) {
                 orders.add(new Order.Stop(attemptId, graceS.getAsDouble()));
             }
@@ -118,21 +120,26 @@
             AttemptId attemptId = entry.getKey();
             if (orders.size() < Constants.Heartbeat.MAX_ORDERS
                     && isUnreported(machine, attemptId, entry.getValue())
-                    && stopGraceS(attemptId, entry.getValue()).isEmpty()
-                    && mayLaunch(attemptId)
-                    && isWithinTeamLimit(attemptId)
-                    && !runsOtherAttempt(machine, attemptId)) {
+                    && mayLaunch(machine, attemptId, entry.getValue())) {
                 orders.add(new Order.Launch(attemptId));
             }
         }
     }
 
+    private boolean mayLaunch(Machine machine, AttemptId attemptId, Attempt attempt) {
+        JobEntry job = jobs.get(attemptId.jobId());
+        return stopGraceS(job, attemptId, attempt).isEmpty()
+                && isGangReady(attemptId)
+                && isWithinTeamLimit(job)
+                && !runsOtherAttempt(machine, attemptId);
+    }
+
     private static boolean isUnreported(Machine machine, AttemptId attemptId, Attempt attempt) {
         return attempt.incarnation() == machine.incarnation()
                 && !machine.tasks().containsKey(attemptId);
     }
 
-    private boolean mayLaunch(AttemptId attemptId) {
+    private boolean isGangReady(AttemptId attemptId) {
         boolean allowed = desiredState.mayLaunch(attemptId);
         if (!allowed) {
             counters.count(Event.LAUNCH_WITHHELD_GANG_FETCHING);
@@ -145,9 +152,8 @@
      * limit. The placements of the current leader respect the limit. The attempts that its predecessor stored can
      * exceed it if the predecessor stopped between two writes.
      */
-    private boolean isWithinTeamLimit(AttemptId attemptId) {
-        boolean withinLimit =
-                !quotas.exceeded(jobs.get(attemptId.jobId()).committed().spec().team());
+    private boolean isWithinTeamLimit(JobEntry job) {
+        boolean withinLimit = !quotas.exceeded(job.committed().spec().team());
         if (!withinLimit) {
             counters.count(Event.LAUNCH_WITHHELD_TEAM_LIMIT);
         }
@@ -165,15 +171,13 @@
         }
     }
 
-    private boolean isActive(AttemptId attemptId, Attempt attempt) {
-        JobEntry job = jobs.get(attemptId.jobId());
+    private static boolean isActive(JobEntry job, Attempt attempt) {
         return job != null && job.isActive(attempt);
     }
 
     /** The grace period in seconds with which a stored attempt is to be stopped; empty when it is to continue. */
-    private OptionalDouble stopGraceS(AttemptId attemptId, Attempt attempt) {
-        JobEntry job = jobs.get(attemptId.jobId());
-        if (job == null || job.cancelled() || !job.isActive(attempt)) {
+    private OptionalDouble stopGraceS(JobEntry job, AttemptId attemptId, Attempt attempt) {
+        if (!isActive(job, attempt) || job.cancelled()) {
             return OptionalDouble.of(0);
         }
         return desiredState.stopGraceS(attemptId);
--- a/src/test/java/org/spoolline/simulation/Controllers.java
+++ b/src/test/java/org/spoolline/simulation/Controllers.java
@@ -158,6 +158,13 @@
         return processes.get(name).controller().counters().get(event);
     }
 
+    /** The sum of the event counters in the current processes of all controllers. */
+    long countOnAll(Event event) {
+        return processes.keySet().stream()
+                .mapToLong(name -> countOf(name, event))
+                .sum();
+    }
+
     /**
      * Passes all requests to controllers to this handler from now on. Tests use a faulty handler to check that
      * invariant violations are detected.
--- a/src/test/java/org/spoolline/simulation/QuotaAfterOutageTest.java
+++ b/src/test/java/org/spoolline/simulation/QuotaAfterOutageTest.java
@@ -2,7 +2,6 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
-import static org.spoolline.simulation.Workloads.NODES;
 import static org.spoolline.simulation.Workloads.leader;
 
 import java.util.List;
@@ -52,14 +51,8 @@
         simulation.run(OUTAGE_S + 40);
         assertTrue(simulation.invariants.starts() > startsBefore, "expected tasks to start after the outage");
         assertEquals(List.of(), simulation.invariants.violations(), "seed " + seed);
-        assertEquals(0, countOnAllControllers(simulation, Event.LAUNCH_OF_RELEASED_ATTEMPT), "seed " + seed);
-        assertEquals(0, countOnAllControllers(simulation, Event.TEAM_EXCEEDS_QUOTA), "seed " + seed);
-    }
-
-    private static long countOnAllControllers(Simulation simulation, Event event) {
-        return NODES.stream()
-                .mapToLong(node -> simulation.controllers.countOf(node, event))
-                .sum();
+        assertEquals(0, simulation.controllers.countOnAll(Event.LAUNCH_OF_RELEASED_ATTEMPT), "seed " + seed);
+        assertEquals(0, simulation.controllers.countOnAll(Event.TEAM_EXCEEDS_QUOTA), "seed " + seed);
     }
 
     @ParameterizedTest
--- a/src/test/java/org/spoolline/simulation/ReleasedAttemptsTest.java
+++ b/src/test/java/org/spoolline/simulation/ReleasedAttemptsTest.java
@@ -2,7 +2,6 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
-import static org.spoolline.simulation.Workloads.NODES;
 import static org.spoolline.simulation.Workloads.leader;
 
 import java.util.List;
@@ -59,22 +58,16 @@
         simulation.run(3);
         submitCompetingJobs(simulation);
         simulation.run(130);
-        assertTrue(countOnAllControllers(simulation, Event.ATTEMPT_RELEASED) > 0, "expected attempts to be released");
-        assertTrue(countOnAllControllers(simulation, Event.WRITE_DEFERRED) > 0, "expected writes to be deferred");
+        assertTrue(simulation.controllers.countOnAll(Event.ATTEMPT_RELEASED) > 0, "expected attempts to be released");
+        assertTrue(simulation.controllers.countOnAll(Event.WRITE_DEFERRED) > 0, "expected writes to be deferred");
         assertEquals(List.of(), simulation.invariants.violations(), "seed " + seed);
-        assertEquals(0, countOnAllControllers(simulation, Event.LAUNCH_OF_RELEASED_ATTEMPT), "seed " + seed);
+        assertEquals(0, simulation.controllers.countOnAll(Event.LAUNCH_OF_RELEASED_ATTEMPT), "seed " + seed);
         assertEquals(
                 0,
-                countOnAllControllers(simulation, Event.LAUNCH_WITHHELD_TEAM_LIMIT),
+                simulation.controllers.countOnAll(Event.LAUNCH_WITHHELD_TEAM_LIMIT),
                 "expected no launch to be withheld, since the leader places tasks within the limit");
     }
 
-    private static long countOnAllControllers(Simulation simulation, Event event) {
-        return NODES.stream()
-                .mapToLong(node -> simulation.controllers.countOf(node, event))
-                .sum();
-    }
-
     /**
      * A leader has stored attempts in the capacity of released attempts, and crashes before it has stored the release.
      * Both jobs together exceed the team's limit of 32 cores. All attempts are on idle machines and not launched yet.
@@ -95,7 +88,7 @@
         SimulatedJob replacementJob = storeWithAttempts(simulation, idle.subList(4, 8));
         simulation.run(20);
         assertTrue(
-                countOnAllControllers(simulation, Event.LAUNCH_WITHHELD_TEAM_LIMIT) > 0,
+                simulation.controllers.countOnAll(Event.LAUNCH_WITHHELD_TEAM_LIMIT) > 0,
                 "expected the new leader to withhold launches of a team over its limit");
         simulation.run(150);
         assertEquals(List.of(), simulation.invariants.violations(), "seed " + seed);
