Count and log the placements that a job's value has no space for

"Placed tasks: placed=0" was all that the logs said of it, which fits a full value as well as placements that are cut short for another reason. The new line gives the value's size, limit, attempts, completions and failures, at warn when the job has no attempts and gets none; two counters count the withdrawn placements and such jobs. No behaviour changes.

--- a/src/main/java/org/spoolline/metrics/Event.java
+++ b/src/main/java/org/spoolline/metrics/Event.java
@@ -54,6 +54,10 @@
     PLAN_FAILED,
     /** A task was placed; its launch is ordered once the placement is stored. */
     TASK_PLACED,
+    /** A planned placement was withdrawn because the stored value of its job has no space for the attempt. */
+    PLACEMENT_WITHDRAWN_VALUE_FULL,
+    /** All planned placements of a job without attempts were withdrawn: its value has no space for a single one. */
+    JOB_WITHOUT_SPACE_FOR_ATTEMPTS,
     /** The leader released an attempt: it decided that the attempt has ended, and counts its capacity as free. */
     ATTEMPT_RELEASED,
     /** The attempts listed in heartbeats exceed the limit of a team; must never occur. */
--- a/src/main/java/org/spoolline/pipeline/Pipeline.java
+++ b/src/main/java/org/spoolline/pipeline/Pipeline.java
@@ -203,6 +203,11 @@
         return join.isCompleted(task);
     }
 
+    /** Index of the first task that isn't completed. */
+    public int completedBelow() {
+        return join.completedBelow();
+    }
+
     /** Number of completed tasks. */
     public int completedTasks() {
         return join.completedTasks();
--- a/src/main/java/org/spoolline/scheduler/LaunchPreparer.java
+++ b/src/main/java/org/spoolline/scheduler/LaunchPreparer.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.slf4j.event.Level;
 import org.spoolline.cluster.Machine;
 import org.spoolline.config.Constants;
 import org.spoolline.job.JobEntry;
@@ -72,6 +73,7 @@
         withdrawUntilValueFits(proposed, added);
         if (added.size() < placements.size()) {
             jobsWithFullValue.pause(jobId, Constants.Cycle.VALUE_FULL_BACKOFF_MS);
+            reportFullValue(proposed, placements.size(), added.size());
         }
         if (proposed.spec().gang()) {
             gangLaunches.launchLast(jobId, attemptsWithImage);
@@ -139,4 +141,30 @@
         return bytes <= limit * Constants.Job.VALUE_FILL
                 && bytes + job.joinGrowthBytes() + Constants.Job.VALUE_RESERVE_BYTES <= limit;
     }
+
+    /**
+     * Counts and logs the placements of a job that its value has no space for. A job that has no attempts and gets none
+     * makes no progress, which someone should look at.
+     */
+    private void reportFullValue(Pipeline job, int planned, int placed) {
+        counters.count(Event.PLACEMENT_WITHDRAWN_VALUE_FULL, planned - placed);
+        boolean withoutAttempts = job.attempts().isEmpty();
+        if (withoutAttempts) {
+            counters.count(Event.JOB_WITHOUT_SPACE_FOR_ATTEMPTS);
+        }
+        LOG.atLevel(withoutAttempts ? Level.WARN : Level.INFO)
+                .log(
+                        "Value has no space for placements: job={} planned={} placed={} attempts={} bytes={}"
+                                + " join_growth_bytes={} limit_bytes={} completed_tasks={} completed_below={} failures={}",
+                        job.jobId(),
+                        planned,
+                        placed,
+                        job.attempts().size(),
+                        Json.bytes(job.encode()).length,
+                        job.joinGrowthBytes(),
+                        store.safeValueBytes(),
+                        job.completedTasks(),
+                        job.completedBelow(),
+                        job.failures());
+    }
 }
