Reject dependent jobs whose value would have no space for attempts

What callers saw: a job with dependencies whose description is long (some 1.6 to 1.7 KB at values of 2 KiB) is accepted, becomes eligible, and no task of it is ever started.

Cause: the value of a waiting job may fill 85% of the limit. When it becomes eligible it loses the names of its dependencies and gains its stacks and counters, so that no attempt fits; nobody compared that later value with the limit.

PipelineTest's bound of 85% is written out, its constant now has the one use that is left.

--- a/src/main/java/org/spoolline/api/SubmissionHandler.java
+++ b/src/main/java/org/spoolline/api/SubmissionHandler.java
@@ -1,10 +1,10 @@
 package org.spoolline.api;
 
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import org.spoolline.config.Constants;
 import org.spoolline.job.JobKeys;
 import org.spoolline.kvstore.KeyValueStoreClient;
 import org.spoolline.kvstore.Transaction;
@@ -29,6 +29,7 @@
     private final SubmissionValidator validator;
     private final AncestorChecker ancestorChecker;
     private final StatusHandler statusHandler;
+    private final DescriptionLimit descriptionLimit;
 
     SubmissionHandler(
             EventLoop loop,
@@ -43,6 +44,7 @@
         this.validator = validator;
         this.ancestorChecker = ancestorChecker;
         this.statusHandler = statusHandler;
+        this.descriptionLimit = new DescriptionLimit(store);
     }
 
     /** Handles the body of a submission. */
@@ -73,9 +75,9 @@
             return;
         }
         Pipeline pipeline = Pipeline.accept(job, SubmissionCodec.encode(job), loop.timeOfDay());
-        int maxBytes = maxDescriptionBytes(job);
-        if (Json.bytes(pipeline.encode()).length > maxBytes) {
-            rejectUnlessAccepted(job, JobResponseCodec.descriptionTooLong(maxBytes), responder);
+        OptionalInt exceededBytes = descriptionLimit.exceededBy(pipeline);
+        if (exceededBytes.isPresent()) {
+            rejectUnlessAccepted(job, JobResponseCodec.descriptionTooLong(exceededBytes.getAsInt()), responder);
         } else if (job.dependencies().isEmpty()) {
             accept(pipeline, responder);
         } else {
@@ -91,16 +93,6 @@
         statusHandler.respondIfAccepted(job.jobId(), responder, () -> responder.accept(rejection));
     }
 
-    /**
-     * The maximum size in bytes of the stored value of a new job. The rest of the value limit is reserved for attempts.
-     * A job with dependencies may use more: it has no attempts until its dependencies are satisfied and removed from
-     * the value.
-     */
-    private int maxDescriptionBytes(Submission job) {
-        double share = job.dependencies().isEmpty() ? Constants.Job.DESCRIPTION_SHARE : Constants.Job.VALUE_FILL;
-        return (int) (store.safeValueBytes() * share);
-    }
-
     /** Accepts the job if all controllers can read jobs with dependencies and its dependencies can be satisfied. */
     private void acceptWithDependencies(Pipeline pipeline, Consumer<Http.Response> responder) {
         versions.checkUpgradeStatus(upgradeStatus -> {
--- a/src/main/java/org/spoolline/config/Constants.java
+++ b/src/main/java/org/spoolline/config/Constants.java
@@ -305,7 +305,7 @@
         /** Share of the value limit that a new job's value may fill: attempts and completions need the rest. */
         public static final double DESCRIPTION_SHARE = 0.5;
         /** Share of the value limit that the value of a job with dependencies may fill. */
-        public static final double VALUE_FILL = 0.85;
+        public static final double DEPENDENT_VALUE_SHARE = 0.85;
         /** Bytes of a value that are kept for attempts: enough for tasks on one machine with a name of usual length. */
         public static final int ATTEMPTS_RESERVE_BYTES = 100;
         /** Bytes of a value that are kept for what bounds of its size don't count exactly, such as digits. */
--- a/src/test/java/org/spoolline/api/JobApiFixture.java
+++ b/src/test/java/org/spoolline/api/JobApiFixture.java
@@ -63,9 +63,14 @@
     private long revision;
 
     JobApiFixture() throws SettingsException {
+        this("");
+    }
+
+    private JobApiFixture(String moreSettings) throws SettingsException {
         settings = SettingsFile.parse(SampleSettings.NODE
-                .replace("cpus_max = 2.0", "cpus_max = 12.0")
-                .replace("gpus_max = 0.0", "gpus_max = 1.0"));
+                        .replace("cpus_max = 2.0", "cpus_max = 12.0")
+                        .replace("gpus_max = 0.0", "gpus_max = 1.0")
+                + moreSettings);
         store = new KeyValueStoreClient(loop, this::call, settings);
         catalog = new MachineTypeCatalog(loop, this::call, settings, store);
         VersionRegistry versions = new VersionRegistry(loop, store, settings);
@@ -75,7 +80,12 @@
 
     /** Creates a fixture in which the machine types are known and all controllers support dependencies. */
     static JobApiFixture ready() throws SettingsException {
-        JobApiFixture fixture = new JobApiFixture();
+        return ready("");
+    }
+
+    /** Creates such a fixture with these tables at the end of its settings. */
+    static JobApiFixture ready(String moreSettings) throws SettingsException {
+        JobApiFixture fixture = new JobApiFixture(moreSettings);
         fixture.catalog.refresh(known -> {});
         fixture.put("version/n0", Json.object());
         fixture.loop.runTo(20_000);
--- a/src/test/java/org/spoolline/api/JobApiRequestsTest.java
+++ b/src/test/java/org/spoolline/api/JobApiRequestsTest.java
@@ -6,6 +6,8 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.spoolline.config.SettingsException;
@@ -148,6 +150,29 @@
                 "[\"run-1\"]");
     }
 
+    /**
+     * The value of a dependent job loses the names of its dependencies before it gets attempts, and must have space for
+     * them then.
+     */
+    @Test
+    void rejectsDependentJobsWithoutSpaceForAttempts() throws Exception {
+        fixture = JobApiFixture.ready("[cluster.state.next]\nvalue_kb = 2.0\n");
+        fixture.accept(JobApiFixture.submission());
+        assertSubmissionResponse(
+                "201 {\"uid\":\"run-2\",\"status\":\"pending\"}",
+                "uid",
+                "\"run-2\"",
+                "builds",
+                machineTypes(40),
+                "waitsOn",
+                "[\"run-1\"]");
+        String response = fixture.submit(
+                JobApiFixture.submission("uid", "\"run-3\"", "builds", machineTypes(56), "waitsOn", "[\"run-1\"]"));
+        Matcher bound = Pattern.compile(".*over ([0-9]+) bytes.*").matcher(response);
+        assertTrue(response.startsWith("400 ") && bound.matches(), response);
+        assertTrue(Integer.parseInt(bound.group(1)) < 2_048 * 0.85, response);
+    }
+
     private static String machineTypes(int count) {
         StringBuilder types = new StringBuilder("[\"small\"");
         for (int i = 0; i < count; i++) {
--- a/src/test/java/org/spoolline/pipeline/PipelineTest.java
+++ b/src/test/java/org/spoolline/pipeline/PipelineTest.java
@@ -101,7 +101,7 @@
         Pipeline decoded = encodeAndDecode(pipeline);
         assertEquals(new HashSet<>(placed), new HashSet<>(decoded.attempts()));
         int bytes = Json.bytes(pipeline.encode()).length;
-        assertTrue(bytes < 8 * 1024 * Constants.Job.VALUE_FILL, bytes + " bytes");
+        assertTrue(bytes < 8 * 1024 * 0.85, bytes + " bytes");
     }
 
     @Test
--- a/src/test/java/org/spoolline/simulation/DependentJobsTest.java
+++ b/src/test/java/org/spoolline/simulation/DependentJobsTest.java
@@ -26,6 +26,39 @@
         Workloads.assertEveryJobDone(simulation, seed);
     }
 
+    /**
+     * Guards against dependent jobs that are accepted with so long a description that their value has no space for
+     * attempts once they are eligible. Descriptions of all lengths are either rejected, or their jobs run.
+     */
+    @ParameterizedTest
+    @MethodSource(Seeds.EACH)
+    void longDescriptionsAreRejectedOrRun(int seed) {
+        Simulation simulation = new Simulation(seed);
+        simulation.controllers.announceLimits(2_048, 4, 42);
+        simulation.run(3);
+        SimulatedJob root = simulation.users.submit(simulation.users.job("blue", "batch", 1, 1, 10));
+        simulation.run(3);
+        List<SimulatedJob> dependents = new ArrayList<>();
+        for (int length = 900 + seed; length <= 1_600; length += 20) {
+            dependents.add(simulation.users.submit(simulation
+                    .users
+                    .job("blue", "batch", 1 + length % 3, 1, 3)
+                    .with("builds", List.of("small", "x".repeat(length)))
+                    .dependingOn(root)));
+            simulation.run(0.3);
+        }
+        simulation.store.lowerLimits(2_048, 4);
+        simulation.run(200);
+        assertTrue(dependents.get(0).accepted(), "seed " + seed);
+        assertTrue(dependents.get(dependents.size() - 1).rejected(), "seed " + seed);
+        for (SimulatedJob job : dependents) {
+            assertTrue(
+                    job.rejected() || job.status().equals("done"),
+                    "seed " + seed + ": " + job.jobId() + " is " + job.status());
+        }
+        assertEquals(List.of(), simulation.invariants.violations(), "seed " + seed);
+    }
+
     @Test
     void cancelledRootCancelsWideFanOut() {
         Simulation simulation = new Simulation(5, 1, 400);
