Place all members of a gang beyond the join's window

A gang of more than 8,192 members is accepted where the team's limit and the value allow it; only 8,192 of them are ever placed, wait for the others, time out and are placed again, for ever.

Cause: the join's window bounds which tasks may be placed, so that the record of single completions stays small. A gang completes as a whole and has no such record.

Fix: the window limits arrays and services only.

--- a/src/main/java/org/spoolline/pipeline/Pipeline.java
+++ b/src/main/java/org/spoolline/pipeline/Pipeline.java
@@ -316,15 +316,16 @@
     }
 
     /**
-     * Tasks that are neither completed nor on a machine, in ascending order, at most {@code maxTasks} and within the
-     * join's window; empty if the job is cancelled or has succeeded.
+     * Tasks that are neither completed nor on a machine, in ascending order, at most {@code maxTasks} and, unless the
+     * job is a gang, within the join's window; empty if the job is cancelled or has succeeded. A gang completes as a
+     * whole, so its join records no single completions.
      */
     public List<Integer> unplacedTasks(int maxTasks) {
         List<Integer> tasks = new ArrayList<>();
         if (cancelled || succeeded()) {
             return tasks;
         }
-        int end = join.windowEnd(spec().tasks());
+        int end = spec().gang() ? spec().tasks() : join.windowEnd(spec().tasks());
         for (int task = join.completedBelow(); task < end && tasks.size() < maxTasks; task++) {
             if (!join.isCompleted(task) && !attempts.hasAttemptOf(task)) {
                 tasks.add(task);
--- a/src/test/java/org/spoolline/pipeline/PipelineTest.java
+++ b/src/test/java/org/spoolline/pipeline/PipelineTest.java
@@ -164,6 +164,20 @@
         assertTrue(largestBytes < 8 * 1024 / 2, "at most " + largestBytes + " bytes");
     }
 
+    /** Guards against a gang whose last members are never placed, so that the others wait for them in vain. */
+    @Test
+    void joinWindowDoesNotLimitMembersOfGang() throws Exception {
+        int tasks = Constants.Job.JOIN_WINDOW + 100;
+        Submission gang = SubmissionCodec.parse(body(tasks).put("shape", "group"));
+        assertEquals(
+                tasks,
+                Pipeline.accept(gang, SubmissionCodec.encode(gang), 0)
+                        .unplacedTasks(tasks)
+                        .size());
+        assertEquals(
+                Constants.Job.JOIN_WINDOW, pipeline(tasks).unplacedTasks(tasks).size());
+    }
+
     @Test
     void malformedSubmissionErrorNamesField() {
         for (String field : new String[] {
