Reject gangs that fit no value, and pack those that need few machines

What callers saw: a gang with many members is accepted and never starts, though machines have room. All members are placed by one write, and when their attempts did not fit the value the placement was withdrawn and planned again unchanged, every 2 s.

Fix: a gang whose attempts don't fit the value on the fewest machines that can hold its members gets 422 (GangSize). One that fits there, but not on the machines that were planned, is planned again on the machines with most free capacity for it until it is placed; the usual preference, the fullest machines first, spreads it widest.

--- a/src/main/java/org/spoolline/api/JobResponseCodec.java
+++ b/src/main/java/org/spoolline/api/JobResponseCodec.java
@@ -75,6 +75,7 @@
             case EXCEEDS_TEAM_LIMIT -> "over the limit of team " + job.team();
             case NO_SUITABLE_MACHINE_TYPE -> "a task fits no allowed machine type";
             case GANG_IN_ONE_ZONE -> "a gang can't be spread over one zone";
+            case GANG_TOO_LARGE -> "a gang of " + job.tasks() + " tasks doesn't fit one stored value";
             case DEPENDENCY_NEVER_DONE -> "waitsOn names a job that was never accepted, or a service";
         };
     }
--- a/src/main/java/org/spoolline/api/SubmissionValidator.java
+++ b/src/main/java/org/spoolline/api/SubmissionValidator.java
@@ -5,6 +5,7 @@
 import org.spoolline.cluster.MachineType;
 import org.spoolline.cluster.MachineTypeCatalog;
 import org.spoolline.config.Settings;
+import org.spoolline.pipeline.GangSize;
 import org.spoolline.pipeline.Submission;
 
 /**
@@ -12,9 +13,7 @@
  * a job that passes it may still have to wait for capacity.
  */
 final class SubmissionValidator {
-    /** Cores or accelerators by which a demand may exceed a limit because of floating-point rounding. */
     private final Settings settings;
-
     private final MachineTypeCatalog catalog;
 
     SubmissionValidator(Settings settings, MachineTypeCatalog catalog) {
@@ -48,6 +47,9 @@
         if (needsTwoZones(job) && allowedZoneCount(job, suitableTypes) < 2) {
             return Optional.of(UnsatisfiableReason.GANG_IN_ONE_ZONE);
         }
+        if (job.gang() && !fitsValue(job, suitableTypes)) {
+            return Optional.of(UnsatisfiableReason.GANG_TOO_LARGE);
+        }
         return Optional.empty();
     }
 
@@ -70,4 +72,14 @@
                 .distinct()
                 .count();
     }
+
+    /** True if the gang's attempts fit the job's value when it has the fewest machines. */
+    private boolean fitsValue(Submission gang, List<MachineType> suitableTypes) {
+        int tasksPerMachine = suitableTypes.stream()
+                .mapToInt(type -> type.tasksPerMachine(gang))
+                .max()
+                .orElse(1);
+        int maxBytes = settings.storeLimits().lowestOfCurrentAndAnnounced().valueBytes();
+        return GangSize.fitsValue(gang, tasksPerMachine, maxBytes);
+    }
 }
--- a/src/main/java/org/spoolline/api/UnsatisfiableReason.java
+++ b/src/main/java/org/spoolline/api/UnsatisfiableReason.java
@@ -12,6 +12,8 @@
     NO_SUITABLE_MACHINE_TYPE,
     /** The gang must be spread across zones, but only one zone is possible for it. */
     GANG_IN_ONE_ZONE,
+    /** The gang has more members than one stored value can list, which is written before any of them starts. */
+    GANG_TOO_LARGE,
     /** A direct dependency was never accepted, or is a service, which runs until it is cancelled. */
     DEPENDENCY_NEVER_DONE
 }
--- a/src/main/java/org/spoolline/cluster/Capacity.java
+++ b/src/main/java/org/spoolline/cluster/Capacity.java
@@ -73,6 +73,15 @@
                 && job.memoryGb() <= memoryGb + Constants.Placement.EPSILON;
     }
 
+    /** The number of the job's tasks that fit the free cores and memory. */
+    public int freeTasks(Submission job) {
+        double count = cores / job.cores();
+        if (job.memoryGb() > 0) {
+            count = Math.min(count, memoryGb / job.memoryGb());
+        }
+        return (int) (count + Constants.Placement.EPSILON);
+    }
+
     /** Subtracts the resources of one task of the job from the free capacity. */
     public void allocate(Submission job) {
         cores -= job.cores();
--- a/src/main/java/org/spoolline/scheduler/ClusterSnapshot.java
+++ b/src/main/java/org/spoolline/scheduler/ClusterSnapshot.java
@@ -19,6 +19,8 @@
  * @param pendingWriteAttempts   by job id, for jobs whose write is in flight: the attempts of the committed and of the
  *                               proposed pipeline, since either set may occupy capacity
  * @param placeableJobs          ids of the jobs whose tasks may be placed in this cycle
+ * @param gangsToPack            ids of the gangs that have to be placed on few machines, since their attempts on many
+ *                               would not fit their value
  * @param machinesByName         all known machines by name, including those that accept no launches
  * @param schedulableMachines    machines that currently accept launches
  * @param reservedJobsByMachine  by machine name: the id of the job that the machine is reserved for
@@ -34,6 +36,7 @@
         List<Pipeline> jobs,
         Map<String, List<Attempt>> pendingWriteAttempts,
         Set<String> placeableJobs,
+        Set<String> gangsToPack,
         Map<String, Machine> machinesByName,
         List<Machine> schedulableMachines,
         Map<String, String> reservedJobsByMachine,
--- a/src/main/java/org/spoolline/scheduler/ClusterSnapshotBuilder.java
+++ b/src/main/java/org/spoolline/scheduler/ClusterSnapshotBuilder.java
@@ -44,9 +44,14 @@
      *
      * @param jobsToPlan        jobs to plan, by id
      * @param jobsWithFullValue jobs whose stored value has no space for more attempts at present
+     * @param gangsToPack       ids of the gangs that have to be placed on few machines
      * @param mayConsolidate    true when the plan may evacuate machines
      */
-    ClusterSnapshot build(Map<String, Pipeline> jobsToPlan, JobPauses jobsWithFullValue, boolean mayConsolidate) {
+    ClusterSnapshot build(
+            Map<String, Pipeline> jobsToPlan,
+            JobPauses jobsWithFullValue,
+            Set<String> gangsToPack,
+            boolean mayConsolidate) {
         Map<String, List<Attempt>> pendingWriteAttempts = new HashMap<>();
         Set<String> placeableJobs = new HashSet<>();
         for (Map.Entry<String, Pipeline> jobToPlan : jobsToPlan.entrySet()) {
@@ -62,6 +67,7 @@
                 List.copyOf(jobsToPlan.values()),
                 pendingWriteAttempts,
                 placeableJobs,
+                gangsToPack,
                 machines.byName(),
                 machines.schedulable(loop.now(), settings.heartbeatOverdueMs()),
                 reservations.reservedJobsByMachine(),
--- a/src/main/java/org/spoolline/scheduler/CyclePlanner.java
+++ b/src/main/java/org/spoolline/scheduler/CyclePlanner.java
@@ -48,7 +48,10 @@
     SchedulingPlan plan(CycleState state) {
         try {
             ClusterSnapshot snapshot = snapshotBuilder.build(
-                    state.jobsToPlan(), launchPreparer.jobsWithFullValue(), evictions.mayConsolidate());
+                    state.jobsToPlan(),
+                    launchPreparer.jobsWithFullValue(),
+                    launchPreparer.gangsToPack(),
+                    evictions.mayConsolidate());
             SchedulingPlan plan = PlacementPlanner.plan(snapshot);
             lastPlanFailed = false;
             return plan;
--- a/src/main/java/org/spoolline/scheduler/LaunchPreparer.java
+++ b/src/main/java/org/spoolline/scheduler/LaunchPreparer.java
@@ -32,6 +32,8 @@
     private final Counters counters;
     private final StallMonitor stallMonitor;
     private final JobPauses jobsWithFullValue;
+    /** Ids of the gangs whose attempts did not fit their value with the machines that were last planned. */
+    private final Set<String> gangsToPack = new HashSet<>();
 
     LaunchPreparer(SchedulerContext context, GangLaunchOrder gangLaunches, ImageTracker images) {
         this.store = context.store();
@@ -46,6 +48,7 @@
     /** Clears the state of the previous term. */
     void clear() {
         jobsWithFullValue.clear();
+        gangsToPack.clear();
     }
 
     /**
@@ -58,6 +61,12 @@
         return jobsWithFullValue;
     }
 
+    /** Ids of the live gangs that have to be placed on fewer machines than they were last planned on. */
+    Set<String> gangsToPack() {
+        gangsToPack.removeIf(jobId -> jobs.get(jobId) == null);
+        return gangsToPack;
+    }
+
     /** Adds attempts for the plan's placements, by job id, to the values that the cycle writes. */
     void prepare(Map<String, List<Placement>> placements, CycleState state) {
         placements.forEach((jobId, jobPlacements) -> prepare(jobId, jobPlacements, state));
@@ -78,6 +87,7 @@
         }
         if (proposed.spec().gang()) {
             gangLaunches.launchLast(jobId, attemptsWithImage);
+            updateGangsToPack(jobId, added.isEmpty());
         }
         if (!added.isEmpty()) {
             counters.count(Event.TASK_PLACED, added.size());
@@ -94,6 +104,14 @@
                 attemptNumber(proposed));
     }
 
+    private void updateGangsToPack(String jobId, boolean withdrawn) {
+        if (withdrawn) {
+            gangsToPack.add(jobId);
+        } else {
+            gangsToPack.remove(jobId);
+        }
+    }
+
     /** Adds attempts for as many of the placements as the job's value has space for, the first ones; returns them. */
     private List<Attempt> addFittingAttempts(
             Pipeline job, List<Placement> placements, Set<AttemptId> attemptsWithImage) {
--- a/src/main/java/org/spoolline/scheduler/MachineSelector.java
+++ b/src/main/java/org/spoolline/scheduler/MachineSelector.java
@@ -33,7 +33,7 @@
     List<SchedulableMachine> allocate(Pipeline job, int count) {
         Submission spec = job.spec();
         List<SchedulableMachine> candidates = candidates(job);
-        candidates.sort(preference(spec));
+        candidates.sort(snapshot.gangsToPack().contains(job.jobId()) ? mostSpaceFirst(spec) : preference(spec));
         List<SchedulableMachine> chosen =
                 spec.singleZone() ? allocateInOneZone(job, candidates, count) : allocateInOrder(job, candidates, count);
         if (spec.gang() && chosen.size() < count) {
@@ -85,6 +85,12 @@
                 .thenComparing(SchedulableMachine::name);
     }
 
+    /** Prefers machines on which most tasks of the job fit, so that the job takes as few machines as possible. */
+    private static Comparator<SchedulableMachine> mostSpaceFirst(Submission job) {
+        return Comparator.<SchedulableMachine>comparingInt(machine -> -machine.freeTasks(job))
+                .thenComparing(SchedulableMachine::name);
+    }
+
     /** Allocates in the first usable zone that fits all tasks; if there is none, in the zone that fits the most. */
     private List<SchedulableMachine> allocateInOneZone(Pipeline job, List<SchedulableMachine> candidates, int count) {
         Submission spec = job.spec();
--- a/src/test/java/org/spoolline/scheduler/SchedulerFixture.java
+++ b/src/test/java/org/spoolline/scheduler/SchedulerFixture.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -80,6 +81,8 @@
         return machine;
     }
 
+    /** Ids of the gangs that have to be placed on few machines. */
+    final Set<String> gangsToPack = new HashSet<>();
     /** Highest priority among the dependents of each job, by job id. */
     final Map<String, Submission.Priority> inheritedPriorities = new HashMap<>();
 
@@ -89,6 +92,7 @@
                 jobs,
                 Map.of(),
                 placeableJobs,
+                gangsToPack,
                 machines,
                 List.copyOf(machines.values()),
                 Map.of(),
