Shorten descriptions that leave no space under lowered limits

A job that production accepted with a description of more than some 1.6 KB (it accepts 4 KiB at values of 8 KiB) is never started again, and can't be cancelled (503 for ever), once the key-value store holds values of 2 KiB: neither its value with an attempt nor the cancelled value without its list of attempts can be written.

Fix: where nothing else makes the value fit, its description is shortened without changing where, when or how tasks may run: unknown fields and machine types that the cloud doesn't offer go, long names of class and image become hashes. Placements do so for a description over the share that new jobs may use, cancellations when the value without attempts is still too large. ValueCompactor takes the forgetting of completions too.

--- a/src/main/java/org/spoolline/api/CancellationHandler.java
+++ b/src/main/java/org/spoolline/api/CancellationHandler.java
@@ -1,6 +1,7 @@
 package org.spoolline.api;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -14,6 +15,7 @@
 import org.spoolline.net.Http;
 import org.spoolline.net.Json;
 import org.spoolline.pipeline.Pipeline;
+import org.spoolline.pipeline.ValueCompactor;
 
 /**
  * Cancels jobs by a compare-and-swap of their live value. A cancellation is confirmed only after it is committed, and
@@ -90,15 +92,23 @@
         });
     }
 
-    /** Cancels and encodes the job, without its list of attempts if the value would exceed the limits in force. */
+    /**
+     * Cancels and encodes the job. If the value would exceed the limits in force, it gets no list of attempts and, if
+     * that is not enough, a shorter description.
+     */
     private ObjectNode cancelledValue(Pipeline pipeline) {
         pipeline.cancel();
-        ObjectNode value = pipeline.encode();
-        if (Json.bytes(value).length > store.limits().valueBytes()) {
+        if (exceedsLimit(pipeline)) {
             pipeline.cancelWithUnlistedAttempts();
-            value = pipeline.encode();
         }
-        return value;
+        if (exceedsLimit(pipeline)) {
+            ValueCompactor.shortenDescription(pipeline, Set.of());
+        }
+        return pipeline.encode();
+    }
+
+    private boolean exceedsLimit(Pipeline pipeline) {
+        return Json.bytes(pipeline.encode()).length > store.limits().valueBytes();
     }
 
     /**
--- a/src/main/java/org/spoolline/config/Constants.java
+++ b/src/main/java/org/spoolline/config/Constants.java
@@ -253,10 +253,7 @@
         public static final long STARVATION_MS = 90_000;
         /** Waiting time in ms of a gang after which it delays other jobs no longer: no more capacity is accumulated. */
         public static final long CAPACITY_ACCUMULATION_UNTIL_MS = 300_000;
-        /**
-         * Expected loss of work in s, if the cloud reclaims the machine, up to which a task prefers spot machines:
-         * about the cost of any start in launch and fetch.
-         */
+        /** Expected loss of work in s up to which a task prefers spot machines: about the cost of any start. */
         public static final double SPOT_LOSS_S = 15;
         /**
          * Minimum unsaved run time of a preempted task for a checkpoint to be worth it, as a multiple of its save time:
@@ -304,6 +301,8 @@
         public static final int JOIN_WINDOW = 8192;
         /** Share of the value limit that a new job's value may fill: attempts and completions need the rest. */
         public static final double DESCRIPTION_SHARE = 0.5;
+        /** Maximum size in bytes of a name in a shortened description. */
+        public static final int SHORT_NAME_BYTES = 64;
         /** Share of the value limit that the value of a job with dependencies may fill. */
         public static final double DEPENDENT_VALUE_SHARE = 0.85;
         /** Bytes of a value that are kept for attempts: enough for tasks on one machine with a name of usual length. */
--- a/src/main/java/org/spoolline/pipeline/Pipeline.java
+++ b/src/main/java/org/spoolline/pipeline/Pipeline.java
@@ -248,25 +248,6 @@
         return StoredSizeBound.of(this);
     }
 
-    /**
-     * Makes the stored form of a job without attempts smaller by forgetting the completions of its last completed
-     * tasks. These tasks are placed again and end at once, because workers keep the results of completed tasks.
-     *
-     * @param excessBytes number of bytes by which the stored form should shrink
-     * @return the number of completions forgotten; 0 if the stored form can't shrink any further
-     */
-    public int forgetLastCompletions(int excessBytes) {
-        if (!attempts.isEmpty()) {
-            throw new IllegalStateException(jobId() + ": only a job without attempts can forget completions");
-        }
-        int forgotten = join.forgetLast(excessBytes);
-        if (forgotten > 0) {
-            // The forgotten tasks must not get the numbers of their earlier attempts again.
-            attempts.skipNumber();
-        }
-        return forgotten;
-    }
-
     /** A view of the listed attempts, at most one for each task. */
     public Collection<Attempt> attempts() {
         return attempts.listed();
@@ -371,6 +352,11 @@
         return storedSubmission;
     }
 
+    /** Replaces the stored submission by another form of it. */
+    void replaceStoredSubmission(EncodedSubmission replacement) {
+        storedSubmission = replacement;
+    }
+
     CekkMachine.State enactment() {
         return enactment;
     }
--- a/src/main/java/org/spoolline/scheduler/LaunchPreparer.java
+++ b/src/main/java/org/spoolline/scheduler/LaunchPreparer.java
@@ -9,6 +9,7 @@
 import org.slf4j.LoggerFactory;
 import org.slf4j.event.Level;
 import org.spoolline.cluster.Machine;
+import org.spoolline.cluster.MachineTypeCatalog;
 import org.spoolline.config.Constants;
 import org.spoolline.job.JobEntry;
 import org.spoolline.job.JobTable;
@@ -20,6 +21,7 @@
 import org.spoolline.pipeline.Attempt;
 import org.spoolline.pipeline.AttemptId;
 import org.spoolline.pipeline.Pipeline;
+import org.spoolline.pipeline.ValueCompactor;
 
 /** Creates attempts for the placements of a plan, as many as fit into the stored value of each job. */
 final class LaunchPreparer {
@@ -27,6 +29,7 @@
 
     private final KeyValueStoreClient store;
     private final JobTable jobs;
+    private final MachineTypeCatalog catalog;
     private final GangLaunchOrder gangLaunches;
     private final ImageTracker images;
     private final Counters counters;
@@ -38,6 +41,7 @@
     LaunchPreparer(SchedulerContext context, GangLaunchOrder gangLaunches, ImageTracker images) {
         this.store = context.store();
         this.jobs = context.jobs();
+        this.catalog = context.catalog();
         this.gangLaunches = gangLaunches;
         this.images = images;
         this.counters = context.counters();
@@ -124,27 +128,48 @@
      * Makes space for an attempt in the value of a job that has none. Only a value that was stored by an earlier
      * version needs that, since placements leave this space. Without it, the job would never make progress again.
      *
-     * @return true when the value has space for the first placement now
+     * @return true when the value has changed, so that it may have space for the placements now
      */
     private boolean makeSpaceForAttempt(Pipeline job, List<Placement> placements) {
-        Placement first = placements.get(0);
+        boolean shortened = shortenLongDescription(job);
+        int forgotten = forgetCompletionsUntilFits(job, placements.get(0));
+        return shortened || forgotten > 0;
+    }
+
+    /** Shortens a description that takes more space than that of a new job may. */
+    private boolean shortenLongDescription(Pipeline job) {
+        int bytesBefore = ValueCompactor.descriptionBytes(job);
+        boolean shortened = bytesBefore > store.safeValueBytes() * Constants.Job.DESCRIPTION_SHARE
+                && ValueCompactor.shortenDescription(job, catalog.types().keySet());
+        if (shortened) {
+            LOG.info(
+                    "Shortened description to make space for attempts: job={} bytes={} bytes_before={}",
+                    job.jobId(),
+                    ValueCompactor.descriptionBytes(job),
+                    bytesBefore);
+        }
+        return shortened;
+    }
+
+    /** Returns the number of completions that were forgotten until the placement fits, if it does. */
+    private int forgetCompletionsUntilFits(Pipeline job, Placement placement) {
         int forgotten = 0;
-        int excessBytes = excessBytesWith(job, first);
-        while (excessBytes > 0) {
-            int forgottenNow = job.forgetLastCompletions(excessBytes);
-            if (forgottenNow == 0) {
-                return false;
-            }
+        int forgottenNow = -1;
+        int excessBytes = excessBytesWith(job, placement);
+        while (excessBytes > 0 && forgottenNow != 0) {
+            forgottenNow = ValueCompactor.forgetLastCompletions(job, excessBytes);
             forgotten += forgottenNow;
-            excessBytes = excessBytesWith(job, first);
+            excessBytes = excessBytesWith(job, placement);
+        }
+        if (forgotten > 0) {
+            counters.count(Event.COMPLETION_FORGOTTEN, forgotten);
+            LOG.warn(
+                    "Forgot completions to make space for attempts: job={} forgotten={} completed_tasks={}",
+                    job.jobId(),
+                    forgotten,
+                    job.completedTasks());
         }
-        counters.count(Event.COMPLETION_FORGOTTEN, forgotten);
-        LOG.warn(
-                "Forgot completions to make space for attempts: job={} forgotten={} completed_tasks={}",
-                job.jobId(),
-                forgotten,
-                job.completedTasks());
-        return true;
+        return forgotten;
     }
 
     /** Number of bytes by which the job's value could exceed the limit with an attempt for this placement. */
--- a/src/test/java/org/spoolline/pipeline/StoredSizeBoundTest.java
+++ b/src/test/java/org/spoolline/pipeline/StoredSizeBoundTest.java
@@ -172,7 +172,7 @@
         long number = job.nextAttemptNumber();
         int excessBytes = 1 + random.nextInt(900);
         int before = Json.bytes(job.encode()).length;
-        int forgotten = job.forgetLastCompletions(excessBytes);
+        int forgotten = ValueCompactor.forgetLastCompletions(job, excessBytes);
         int after = Json.bytes(job.encode()).length;
         assertTrue(after <= before - excessBytes && after >= before - excessBytes - 8, before + " to " + after);
         assertEquals(completed - forgotten, job.completedTasks());
--- a/src/test/java/org/spoolline/simulation/WideArrayTest.java
+++ b/src/test/java/org/spoolline/simulation/WideArrayTest.java
@@ -158,8 +158,7 @@
      * Stores a value in which all tasks after the first ones are completed, up to the given one, and which has no
      * attempts.
      */
-    private static SimulatedJob storeFullValue(Simulation simulation, String image, int completedUpTo) {
-        SimulatedJob job = wideJob(simulation).with("plate", image);
+    private static SimulatedJob storeFullValue(Simulation simulation, SimulatedJob job, int completedUpTo) {
         Pipeline pipeline = SampleSubmissions.accepted(job.body(), Simulation.START_OF_DAY);
         for (int task = FIRST_TASKS; task < completedUpTo; task++) {
             pipeline.completeTask(task);
@@ -177,7 +176,7 @@
     @MethodSource(Seeds.EACH)
     void valueFilledByEarlierVersionGoesOn(int seed) {
         Simulation simulation = simulationWithAnnouncedLimits(seed);
-        SimulatedJob job = storeFullValue(simulation, "img".repeat(30), 8_100);
+        SimulatedJob job = storeFullValue(simulation, wideJob(simulation).with("plate", "img".repeat(30)), 8_100);
         simulation.store.lowerLimits(VALUE_BYTES, 4);
         int bytes = storedBytes(simulation, job);
         assertTrue(bytes > 1_900 && bytes <= VALUE_BYTES, bytes + " bytes");
@@ -192,11 +191,54 @@
     @MethodSource(Seeds.EACH)
     void valueOverLoweredLimitGoesOn(int seed) {
         Simulation simulation = simulationWithAnnouncedLimits(seed);
-        SimulatedJob job = storeFullValue(simulation, "img".repeat(60), 8_100);
+        SimulatedJob job = storeFullValue(simulation, wideJob(simulation).with("plate", "img".repeat(60)), 8_100);
         simulation.store.lowerLimits(VALUE_BYTES, 4);
         int bytes = storedBytes(simulation, job);
         assertTrue(bytes > VALUE_BYTES, bytes + " bytes");
         simulation.invariants.faultsEnded();
         assertCompletes(simulation, job, seed);
     }
+
+    /**
+     * Stores a value as production accepts it, whose description alone is over the limit that is lowered later: it
+     * names machine types that don't exist.
+     */
+    private static SimulatedJob storeLongDescription(Simulation simulation, String shape, int tasks, int completed) {
+        SimulatedJob job = simulation
+                .users
+                .job("blue", shape, tasks, 0.1, 1)
+                .with("lane", "class ".repeat(30))
+                .with("plate", "image ".repeat(30))
+                .with("builds", List.of("small", "x".repeat(2_500)));
+        return storeFullValue(simulation, job, completed);
+    }
+
+    @ParameterizedTest
+    @MethodSource(Seeds.EACH)
+    void jobsWithDescriptionOverLoweredLimitGoOn(int seed) {
+        Simulation simulation = simulationWithAnnouncedLimits(seed);
+        SimulatedJob array = storeLongDescription(simulation, "batch", 500, 300);
+        SimulatedJob gang = storeLongDescription(simulation, "group", 24, 0);
+        simulation.store.lowerLimits(VALUE_BYTES, 4);
+        assertTrue(storedBytes(simulation, array) > VALUE_BYTES);
+        simulation.invariants.faultsEnded();
+        simulation.run(120);
+        simulation.invariants.checkAtEnd();
+        assertEquals(List.of(), simulation.invariants.violations(), "seed " + seed);
+        assertEquals("done", array.status(), "seed " + seed);
+        assertEquals("done", gang.status(), "seed " + seed);
+    }
+
+    @ParameterizedTest
+    @MethodSource(Seeds.EACH)
+    void jobWithDescriptionOverLoweredLimitIsCancelled(int seed) {
+        Simulation simulation = simulationWithAnnouncedLimits(seed);
+        simulation.store.lowerLimits(VALUE_BYTES, 4);
+        SimulatedJob job = storeLongDescription(simulation, "batch", 500, 300);
+        simulation.run(1);
+        simulation.users.cancel(job);
+        simulation.run(20);
+        assertEquals("aborted", job.status(), "seed " + seed);
+        assertEquals(List.of(), simulation.invariants.violations(), "seed " + seed);
+    }
 }
