Check gangs with spread machine names, and the size bound with full values

Cause: a gang was accepted by its size on machines with consecutive names and without the time at which a dependent becomes eligible, so one near the bound could be accepted and never fit. And StoredSizeBoundTest never filled values to the brim: with the join's growth, the retry state or the growth of attempt numbers left out of the bound it passed.

Change: names 16 numbers apart, all fields that an eligible gang has. The test fills values up to the bound, checks the largest single step each time (the last task completes; one attempt is lost) and lets the first task fail again and again on other machines.

--- a/src/main/java/org/spoolline/config/Constants.java
+++ b/src/main/java/org/spoolline/config/Constants.java
@@ -311,6 +311,8 @@
         public static final int VALUE_SLACK_BYTES = 32;
         /** Length in bytes of a machine name in the protocol's form. */
         public static final int MACHINE_NAME_BYTES = 8;
+        /** Average distance of the numbers in the names of a large gang's machines, when its size is checked. */
+        public static final int GANG_MACHINE_NAME_GAP = 16;
         /** The latest time of day, in ms, with as many digits as the present: the year 2286. */
         public static final long LATEST_TIME_OF_DAY = 9_999_999_999_999L;
         /** Backoff in ms after a job's first task failure; doubles with each further one. */
--- a/src/main/java/org/spoolline/pipeline/GangSize.java
+++ b/src/main/java/org/spoolline/pipeline/GangSize.java
@@ -13,8 +13,8 @@
     private GangSize() {}
 
     /**
-     * True if the attempts of all members fit a value when they are on as few machines as possible, which is the form
-     * that takes the least space.
+     * True if the attempts of all members fit a value when they are on as few machines as possible. That takes the
+     * least space but for machines with consecutive names, which can't be counted on.
      *
      * @param tasksPerMachine the number of members that fit the largest machine
      * @param maxBytes        limit on the value
@@ -23,15 +23,19 @@
         if (gang.tasks() / MAX_MEMBERS_PER_BYTE > maxBytes) {
             return false;
         }
-        Pipeline placed = Pipeline.accept(EncodedSubmission.of(gang.withoutDependencies()), 0);
+        Pipeline placed = Pipeline.accept(EncodedSubmission.of(gang), Constants.Job.LATEST_TIME_OF_DAY - 1);
+        if (placed.hasUnsatisfiedDependencies()) {
+            placed.satisfyDependencies(Constants.Job.LATEST_TIME_OF_DAY);
+        }
         long number = placed.nextAttemptNumber();
         for (int task = 0; task < gang.tasks(); task++) {
-            placed.addAttempt(new Attempt(task, number, machineName(1 + task / tasksPerMachine), 1));
+            placed.addAttempt(new Attempt(task, number, machineName(task / tasksPerMachine), 1));
         }
         return placed.maxStoredBytes() <= maxBytes;
     }
 
     private static String machineName(int machine) {
-        return MachineName.format("", Constants.Job.MACHINE_NAME_BYTES, machine);
+        long number = (machine + 1L) * Constants.Job.GANG_MACHINE_NAME_GAP;
+        return MachineName.format("m-", Constants.Job.MACHINE_NAME_BYTES - 2, number);
     }
 }
--- a/src/test/java/org/spoolline/pipeline/StoredSizeBoundTest.java
+++ b/src/test/java/org/spoolline/pipeline/StoredSizeBoundTest.java
@@ -18,9 +18,11 @@
  * within its limit with its attempts, and exceeds the limit or has no space for the next attempt once they have ended.
  */
 class StoredSizeBoundTest {
-    private static final int SEEDS = 20;
-    private static final int ROUNDS = 24;
-    private static final int[] LIMITS = {1_024, 2_048, 8_192};
+    private static final int SEEDS = 16;
+    private static final int ROUNDS = 6;
+    private static final int[] LIMITS = {1_024, 2_048, 4_096, 8_192};
+    private static final int TASKS_PER_ROUND = 1_500;
+    private static final int FAILURES = 14;
     private static final long TIME_OF_DAY = 1_700_000_000_000L;
 
     static int[] seeds() {
@@ -32,37 +34,54 @@
         private final Random random;
         private final int limit;
         private final int machines;
+        private final int tasksPerMachine;
         private Pipeline job;
 
-        RandomJob(int seed, String shape) {
-            random = new Random(seed);
-            limit = LIMITS[random.nextInt(LIMITS.length)];
-            machines = 1 + random.nextInt(1_000);
-            int tasks = 1 + random.nextInt(random.nextBoolean() ? 100 : 100_000);
-            job = accepted(shape, tasks);
+        RandomJob(int seed, Pipeline job, int limit) {
+            this.random = new Random(seed);
+            this.limit = limit;
+            this.machines = 1 + random.nextInt(1_000);
+            this.tasksPerMachine = 1 << random.nextInt(8);
+            this.job = job;
+        }
+
+        static RandomJob of(int seed, String shape) {
+            Random random = new Random(seed);
+            int tasks = 1 + random.nextInt(random.nextInt(4) == 0 ? 100 : 100_000);
+            return new RandomJob(seed, accepted(shape, tasks), LIMITS[seed % LIMITS.length]);
         }
 
         private int bytes() {
             return Json.bytes(job.encode()).length;
         }
 
-        /** Places the first unplaced tasks, as many as the bound allows; returns their number. */
+        /** Places the first unplaced tasks, as many as the bound allows and at most so many; returns their number. */
         int place(int maxTasks) {
-            List<Attempt> added = new ArrayList<>();
+            int placed = 0;
+            int batch = maxTasks;
+            while (batch > 0 && placed < maxTasks) {
+                List<Attempt> added = attemptsOf(job.unplacedTasks(Math.min(batch, maxTasks - placed)));
+                added.forEach(job::addAttempt);
+                if (!added.isEmpty() && job.maxStoredBytes() <= limit) {
+                    placed += added.size();
+                } else {
+                    added.forEach(job::withdrawAttempt);
+                    batch /= 2;
+                }
+            }
+            return placed;
+        }
+
+        private List<Attempt> attemptsOf(List<Integer> tasks) {
+            List<Attempt> attempts = new ArrayList<>();
             long number = job.nextAttemptNumber();
             int machine = random.nextInt(machines);
-            for (int task : job.unplacedTasks(maxTasks)) {
-                machine = random.nextInt(4) == 0 ? random.nextInt(machines) : machine;
-                long incarnation = 1L << random.nextInt(3);
-                added.add(new Attempt(task, number, String.format("m-%06d", machine * 997), incarnation));
+            for (int task : tasks) {
+                machine = random.nextInt(tasksPerMachine) == 0 ? random.nextInt(machines) : machine;
+                attempts.add(
+                        new Attempt(task, number, String.format("m-%06d", machine * 997), 1L << random.nextInt(3)));
             }
-            added.forEach(job::addAttempt);
-            while (!added.isEmpty() && job.maxStoredBytes() > limit) {
-                for (int withdrawn = (added.size() + 1) / 2; withdrawn > 0; withdrawn--) {
-                    job.withdrawAttempt(added.remove(added.size() - 1));
-                }
-            }
-            return added.size();
+            return attempts;
         }
 
         /** Ends some of the attempts, in an order and in ways that differ between rounds. */
@@ -79,11 +98,9 @@
             int count = all ? ending.size() : random.nextInt(ending.size() + 1);
             for (Attempt attempt : ending.subList(0, count)) {
                 end(attempt, completedShare);
-                if (random.nextInt(1 + count / 8) == 0) {
-                    assertTrue(bytes() <= limit, bytes() + " bytes, limit " + limit);
-                }
+                requireFits(random.nextInt(1 + count / 4) == 0);
             }
-            assertTrue(bytes() <= limit, bytes() + " bytes, limit " + limit);
+            requireFits(true);
         }
 
         /** The first unfinished task often ends without completing, so that the window of the join grows. */
@@ -101,6 +118,13 @@
             }
         }
 
+        /** Checks the size of the value, or not: encoding after each of thousands of ends takes long. */
+        void requireFits(boolean check) {
+            if (check) {
+                assertTrue(bytes() <= limit, bytes() + " bytes, limit " + limit);
+            }
+        }
+
         void requireSpaceForCancellation() {
             Pipeline cancelled = job.copy();
             cancelled.cancel();
@@ -108,6 +132,24 @@
             assertTrue(cancelledBytes <= limit, cancelledBytes + " bytes, limit " + limit);
         }
 
+        /** The completion of the last task alone makes the window as large as it can become. */
+        void requireSpaceForLastCompletion() {
+            Pipeline completed = job.copy();
+            completed.attempts().stream()
+                    .max(Comparator.comparingInt(Attempt::task))
+                    .ifPresent(completed::completeAttempt);
+            int completedBytes = Json.bytes(completed.encode()).length;
+            assertTrue(completedBytes <= limit, completedBytes + " bytes, limit " + limit);
+        }
+
+        /** The loss of one attempt changes how the numbers of all others are stored. */
+        void requireSpaceForLoss() {
+            Pipeline reduced = job.copy();
+            reduced.attempts().stream().findAny().ifPresent(reduced::retireAttempt);
+            int reducedBytes = Json.bytes(reduced.encode()).length;
+            assertTrue(reducedBytes <= limit, reducedBytes + " bytes, limit " + limit);
+        }
+
         void storeAndRead() {
             job = Pipeline.decode(Json.read(Json.bytes(job.encode())));
         }
@@ -126,9 +168,11 @@
     private static void everyValueFits(RandomJob randomJob) {
         for (int round = 0; round < ROUNDS && !randomJob.job.succeeded(); round++) {
             boolean withoutAttempts = randomJob.job.attempts().isEmpty();
-            int placed = randomJob.place(1 + randomJob.random.nextInt(2_000));
+            int placed = randomJob.place(1 + randomJob.random.nextInt(10_000));
             assertTrue(!withoutAttempts || placed > 0, "no space for an attempt in round " + round);
             randomJob.requireSpaceForCancellation();
+            randomJob.requireSpaceForLastCompletion();
+            randomJob.requireSpaceForLoss();
             randomJob.endAttempts(round % 4 == 0);
             randomJob.storeAndRead();
         }
@@ -137,14 +181,14 @@
     @ParameterizedTest
     @MethodSource("seeds")
     void everyValueOfArrayFitsAndHasSpaceForNextAttempt(int seed) {
-        everyValueFits(new RandomJob(seed, "batch"));
+        everyValueFits(RandomJob.of(seed, "batch"));
     }
 
     /** A service's tasks never complete: each end is followed by another attempt with a higher number. */
     @ParameterizedTest
     @MethodSource("seeds")
     void everyValueOfServiceFits(int seed) {
-        RandomJob randomJob = new RandomJob(seed, "standing");
+        RandomJob randomJob = RandomJob.of(seed, "standing");
         for (int round = 0; round < ROUNDS; round++) {
             randomJob.place(1 + randomJob.random.nextInt(500));
             randomJob.requireSpaceForCancellation();
@@ -157,6 +201,35 @@
         }
     }
 
+    /**
+     * The first task fails each time on another machine while all others complete, the last ones first, until the value
+     * has no space for other tasks.
+     */
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void hasSpaceForFirstTaskHoweverOftenItFails(int seed) {
+        RandomJob randomJob = new RandomJob(seed, accepted("batch", 100_000), 2_048);
+        int placed = TASKS_PER_ROUND;
+        for (int round = 0; round < FAILURES; round++) {
+            placed = randomJob.place(TASKS_PER_ROUND);
+            assertTrue(placed > 0, "no space for the first task in round " + round);
+            randomJob.requireSpaceForCancellation();
+            List<Attempt> attempts = new ArrayList<>(randomJob.job.attempts());
+            attempts.sort(Comparator.comparingInt(Attempt::task).reversed());
+            for (Attempt attempt : attempts) {
+                if (attempt.task() > 0) {
+                    randomJob.job.completeAttempt(attempt);
+                } else {
+                    randomJob.job.retireAttempt(attempt);
+                    randomJob.job.recordTaskFailure(String.format("m-%06d", 100_000 + round), TIME_OF_DAY);
+                }
+                randomJob.requireFits(attempt.task() % 64 == 0);
+            }
+            randomJob.storeAndRead();
+        }
+        assertTrue(placed < TASKS_PER_ROUND, "expected a full value");
+    }
+
     /** Values that earlier versions have filled must get space for an attempt again. */
     @ParameterizedTest
     @MethodSource("seeds")
