--- a/src/main/java/org/spoolline/api/DescriptionLimit.java
+++ b/src/main/java/org/spoolline/api/DescriptionLimit.java
@@ -29,8 +29,8 @@
      */
     private int maxStoredBytes(Pipeline job) {
         double share = job.hasUnsatisfiedDependencies()
-                ? Constants.Job.DEPENDENT_VALUE_SHARE
-                : Constants.Job.DESCRIPTION_SHARE;
+                ? Constants.StoredValue.DEPENDENT_VALUE_SHARE
+                : Constants.StoredValue.DESCRIPTION_SHARE;
         return (int) (store.safeValueBytes() * share);
     }
 
--- a/src/main/java/org/spoolline/config/Constants.java
+++ b/src/main/java/org/spoolline/config/Constants.java
@@ -85,10 +85,7 @@
         public static final long LEADERSHIP_MIN_MS = 1_500;
         /** Share of a core below which the leadership lease is extended, since renewals are late. */
         public static final double SLOW_CPU_SHARE = 0.1;
-        /**
-         * Maximum factor by which the leadership lease is extended: a crashed leader is replaced only once its lease
-         * expires.
-         */
+        /** Maximum factor by which the leadership lease is extended: a crashed leader is replaced at its end only. */
         public static final double LEADERSHIP_FACTOR_MAX = 2;
         /** Renewals per leadership lease, so that a single lost response does not end leadership. */
         public static final int RENEWALS_PER_LEASE = 5;
@@ -177,14 +174,9 @@
         public static final int EARLY_HEARTBEAT_REQUESTS_MIN = 8;
         /** Timeout in ms of an early-heartbeat request: if it is lost, the next regular heartbeat replaces it. */
         public static final long EARLY_HEARTBEAT_TIMEOUT_MS = 1_000;
-        /**
-         * Time in ms that the response to a heartbeat with ended tasks is held, so that it can include the next
-         * launches.
-         */
+        /** Time in ms that the response to a heartbeat with ended tasks is held, to include the next launches. */
         public static final long RESPONSE_HOLD_MS = 600;
-        /**
-         * Maximum time in ms that responses are held until a new leader has read the jobs: workers time out after 4 s.
-         */
+        /** Maximum time in ms that responses wait until a new leader has read the jobs: workers time out after 4 s. */
         public static final long RESPONSE_HOLD_UNTIL_LOADED_MS = 2_500;
         /** Maximum number of orders in a heartbeat response, which keeps its single line well below 64 KiB. */
         public static final int MAX_ORDERS = 400;
@@ -193,10 +185,7 @@
          * is late. Heartbeats may be late by a quarter of an interval, and by more under disturbances.
          */
         public static final double HEARTBEATS_OVERDUE = 2.7;
-        /**
-         * Heartbeat intervals without a heartbeat of any machine after which a leader steps down in favour of a peer
-         * that workers reach.
-         */
+        /** Heartbeat intervals without any heartbeat after which a leader gives way to a peer that workers reach. */
         public static final double HEARTBEATS_MISSING = 2.4;
         /** Number of different jobs with failed tasks on a machine after which it is drained and released. */
         public static final int DRAIN_FAILED_JOBS = 2;
@@ -255,10 +244,7 @@
         public static final long CAPACITY_ACCUMULATION_UNTIL_MS = 300_000;
         /** Expected loss of work in s up to which a task prefers spot machines: about the cost of any start. */
         public static final double SPOT_LOSS_S = 15;
-        /**
-         * Minimum unsaved run time of a preempted task for a checkpoint to be worth it, as a multiple of its save time:
-         * saving delays the task and the one that waits for the capacity.
-         */
+        /** Minimum unsaved run time of a preempted task, in save times: saving delays the task and its successor. */
         public static final double CHECKPOINT_MIN_UNSAVED_FACTOR = 2;
         /** Time in ms after which a reservation expires if the job has not started on its machines. */
         public static final long RESERVATION_MS = 20_000;
@@ -299,28 +285,34 @@
         public static final int MAX_NAME = 200;
         /** Tasks past the first unfinished one that may be active, which limits the size of the stored join. */
         public static final int JOIN_WINDOW = 8192;
+        /** Backoff in ms after a job's first task failure; doubles with each further one. */
+        public static final long FAILURE_BACKOFF_MS = 1_000;
+        /** Number of doublings after which the backoff stays constant. */
+        public static final int FAILURE_BACKOFF_DOUBLINGS = 5;
+        /** Maximum number of machines to avoid that are stored per job. */
+        public static final int AVOIDED_MACHINES_MAX = 8;
+    }
+
+    /** Space in the stored values of jobs. */
+    public static final class StoredValue {
+        private StoredValue() {}
+
         /** Share of the value limit that a new job's value may fill: attempts and completions need the rest. */
         public static final double DESCRIPTION_SHARE = 0.5;
-        /** Maximum size in bytes of a name in a shortened description. */
-        public static final int SHORT_NAME_BYTES = 64;
         /** Share of the value limit that the value of a job with dependencies may fill. */
         public static final double DEPENDENT_VALUE_SHARE = 0.85;
         /** Bytes of a value that are kept for attempts: enough for tasks on one machine with a name of usual length. */
         public static final int ATTEMPTS_RESERVE_BYTES = 100;
         /** Bytes of a value that are kept for what bounds of its size don't count exactly, such as digits. */
         public static final int VALUE_SLACK_BYTES = 32;
+        /** Maximum size in bytes of a name in a shortened description. */
+        public static final int SHORT_NAME_BYTES = 64;
         /** Length in bytes of a machine name in the protocol's form. */
         public static final int MACHINE_NAME_BYTES = 8;
         /** Average distance of the numbers in the names of a large gang's machines, when its size is checked. */
         public static final int GANG_MACHINE_NAME_GAP = 16;
         /** The latest time of day, in ms, with as many digits as the present: the year 2286. */
         public static final long LATEST_TIME_OF_DAY = 9_999_999_999_999L;
-        /** Backoff in ms after a job's first task failure; doubles with each further one. */
-        public static final long FAILURE_BACKOFF_MS = 1_000;
-        /** Number of doublings after which the backoff stays constant. */
-        public static final int FAILURE_BACKOFF_DOUBLINGS = 5;
-        /** Maximum number of machines to avoid that are stored per job. */
-        public static final int AVOIDED_MACHINES_MAX = 8;
     }
 
     /** Users' requests. */
--- a/src/main/java/org/spoolline/pipeline/GangSize.java
+++ b/src/main/java/org/spoolline/pipeline/GangSize.java
@@ -23,9 +23,9 @@
         if (gang.tasks() / MAX_MEMBERS_PER_BYTE > maxBytes) {
             return false;
         }
-        Pipeline placed = Pipeline.accept(EncodedSubmission.of(gang), Constants.Job.LATEST_TIME_OF_DAY - 1);
+        Pipeline placed = Pipeline.accept(EncodedSubmission.of(gang), Constants.StoredValue.LATEST_TIME_OF_DAY - 1);
         if (placed.hasUnsatisfiedDependencies()) {
-            placed.satisfyDependencies(Constants.Job.LATEST_TIME_OF_DAY);
+            placed.satisfyDependencies(Constants.StoredValue.LATEST_TIME_OF_DAY);
         }
         long number = placed.nextAttemptNumber();
         for (int task = 0; task < gang.tasks(); task++) {
@@ -35,7 +35,7 @@
     }
 
     private static String machineName(int machine) {
-        long number = (machine + 1L) * Constants.Job.GANG_MACHINE_NAME_GAP;
-        return MachineName.format("m-", Constants.Job.MACHINE_NAME_BYTES - 2, number);
+        long number = (machine + 1L) * Constants.StoredValue.GANG_MACHINE_NAME_GAP;
+        return MachineName.format("m-", Constants.StoredValue.MACHINE_NAME_BYTES - 2, number);
     }
 }
--- a/src/main/java/org/spoolline/pipeline/RetryState.java
+++ b/src/main/java/org/spoolline/pipeline/RetryState.java
@@ -42,11 +42,11 @@
      */
     static RetryState largest(int machineNameBytes) {
         LinkedHashSet<String> machines = new LinkedHashSet<>();
-        String prefix = "m".repeat(Math.max(machineNameBytes, Constants.Job.MACHINE_NAME_BYTES) - 1);
+        String prefix = "m".repeat(Math.max(machineNameBytes, Constants.StoredValue.MACHINE_NAME_BYTES) - 1);
         for (int i = 0; i < Constants.Job.AVOIDED_MACHINES_MAX; i++) {
             machines.add(prefix + i);
         }
-        return new RetryState(Integer.MAX_VALUE, Constants.Job.LATEST_TIME_OF_DAY, machines);
+        return new RetryState(Integer.MAX_VALUE, Constants.StoredValue.LATEST_TIME_OF_DAY, machines);
     }
 
     RetryState copy() {
--- a/src/main/java/org/spoolline/pipeline/ShortDescription.java
+++ b/src/main/java/org/spoolline/pipeline/ShortDescription.java
@@ -67,7 +67,7 @@
     }
 
     private static String shortName(String name) {
-        if (name.getBytes(UTF_8).length <= Constants.Job.SHORT_NAME_BYTES) {
+        if (name.getBytes(UTF_8).length <= Constants.StoredValue.SHORT_NAME_BYTES) {
             return name;
         }
         return Hashing.sha256().hashString(name, UTF_8).toString().substring(0, HASH_CHARACTERS);
--- a/src/main/java/org/spoolline/pipeline/StoredSizeBound.java
+++ b/src/main/java/org/spoolline/pipeline/StoredSizeBound.java
@@ -20,8 +20,8 @@
     /** Returns the bound in bytes for a job without unsatisfied dependencies. */
     static int of(Pipeline job) {
         int bytesWithoutAttempts = Json.bytes(largestWithoutAttempts(job).encode()).length;
-        int attemptsBytes = Math.max(attemptsBytes(job.taskAttempts()), Constants.Job.ATTEMPTS_RESERVE_BYTES);
-        return bytesWithoutAttempts + attemptsBytes + Constants.Job.VALUE_SLACK_BYTES;
+        int attemptsBytes = Math.max(attemptsBytes(job.taskAttempts()), Constants.StoredValue.ATTEMPTS_RESERVE_BYTES);
+        return bytesWithoutAttempts + attemptsBytes + Constants.StoredValue.VALUE_SLACK_BYTES;
     }
 
     /**
--- a/src/main/java/org/spoolline/scheduler/LaunchPreparer.java
+++ b/src/main/java/org/spoolline/scheduler/LaunchPreparer.java
@@ -139,7 +139,7 @@
     /** Shortens a description that takes more space than that of a new job may. */
     private boolean shortenLongDescription(Pipeline job) {
         int bytesBefore = ValueCompactor.descriptionBytes(job);
-        boolean shortened = bytesBefore > store.safeValueBytes() * Constants.Job.DESCRIPTION_SHARE
+        boolean shortened = bytesBefore > store.safeValueBytes() * Constants.StoredValue.DESCRIPTION_SHARE
                 && ValueCompactor.shortenDescription(job, catalog.types().keySet());
         if (shortened) {
             LOG.info(
