Cancel jobs whose value is over the limit through its completions alone

A job of production has no attempts, since it waits for machines or in its backoff, and its record of completions takes its value over the lowered limit. Its user can't cancel it (503) until a machine takes a task of it.

Cause: a cancelled value that is too large lost its list of attempts, which such a job hasn't, and a long description, which it needn't have.

Fix: it forgets completions as well; a cancelled job needs none of them.

--- a/src/main/java/org/spoolline/api/CancellationHandler.java
+++ b/src/main/java/org/spoolline/api/CancellationHandler.java
@@ -93,22 +93,25 @@
     }
 
     /**
-     * Cancels and encodes the job. If the value would exceed the limits in force, it gets no list of attempts and, if
-     * that is not enough, a shorter description.
+     * Cancels and encodes the job. If the value would exceed the limits in force, it gets no list of attempts, and if
+     * that is not enough, a shorter description and fewer completions, which a cancelled job no longer needs.
      */
     private ObjectNode cancelledValue(Pipeline pipeline) {
         pipeline.cancel();
-        if (exceedsLimit(pipeline)) {
+        if (excessBytes(pipeline) > 0) {
             pipeline.cancelWithUnlistedAttempts();
         }
-        if (exceedsLimit(pipeline)) {
+        if (excessBytes(pipeline) > 0) {
             ValueCompactor.shortenDescription(pipeline, Set.of());
         }
+        if (excessBytes(pipeline) > 0) {
+            ValueCompactor.forgetLastCompletions(pipeline, excessBytes(pipeline));
+        }
         return pipeline.encode();
     }
 
-    private boolean exceedsLimit(Pipeline pipeline) {
-        return Json.bytes(pipeline.encode()).length > store.limits().valueBytes();
+    private int excessBytes(Pipeline pipeline) {
+        return Json.bytes(pipeline.encode()).length - store.limits().valueBytes();
     }
 
     /**
--- a/src/test/java/org/spoolline/simulation/WideArrayTest.java
+++ b/src/test/java/org/spoolline/simulation/WideArrayTest.java
@@ -241,4 +241,26 @@
         assertEquals("aborted", job.status(), "seed " + seed);
         assertEquals(List.of(), simulation.invariants.violations(), "seed " + seed);
     }
+
+    /** A value without attempts has no list of them to leave out, and a description of usual length can't be shortened. */
+    @ParameterizedTest
+    @MethodSource(Seeds.EACH)
+    void fullValueOverLoweredLimitIsCancelledWithoutMachines(int seed) {
+        Simulation simulation = simulationWithAnnouncedLimits(seed);
+        simulation.cloud.capacity = 0;
+        simulation.store.lowerLimits(VALUE_BYTES, 4);
+        SimulatedJob job = wideJob(simulation)
+                .with("lane", "c".repeat(60))
+                .with("plate", "i".repeat(60))
+                .with("builds", List.of("small", "big"))
+                .with("yard", "a")
+                .with("dueS", 900.0);
+        storeFullValue(simulation, job, 8_150);
+        assertTrue(storedBytes(simulation, job) > VALUE_BYTES);
+        simulation.run(2);
+        simulation.users.cancel(job);
+        simulation.run(20);
+        assertEquals("aborted", job.status(), "seed " + seed);
+        assertEquals(List.of(), simulation.invariants.violations(), "seed " + seed);
+    }
 }
