Don't count a window for the first unfinished task in the size bound

Cause: the bound set the window's bit of the last placed task even if that task is the one at the mark. Its completion moves the mark and never enters the window, so the first attempt of a job without completions raised the bound by 11 bytes, and a description within 11 bytes of the bound could be accepted and have no space for an attempt.

Fix: only tasks after the mark extend the window.

Evidence: StoredSizeBoundTest#attemptOfFirstTaskDoesNotRaiseBound fails on (703 bytes, before 692), not after.

--- a/src/main/java/org/spoolline/pipeline/TaskJoin.java
+++ b/src/main/java/org/spoolline/pipeline/TaskJoin.java
@@ -90,7 +90,8 @@
      */
     TaskJoin grownTo(int highestTask) {
         TaskJoin grown = copy();
-        if (highestTask >= completedBelow) {
+        // The completion of the task at the mark moves the mark and is never part of the window.
+        if (highestTask > completedBelow) {
             grown.window.set(highestTask - completedBelow);
         }
         return grown;
--- a/src/test/java/org/spoolline/pipeline/StoredSizeBoundTest.java
+++ b/src/test/java/org/spoolline/pipeline/StoredSizeBoundTest.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Random;
 import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.spoolline.net.Json;
@@ -230,6 +231,15 @@
         assertTrue(placed < TASKS_PER_ROUND, "expected a full value");
     }
 
+    /** Guards against jobs that are accepted with a bound at the limit and exceed it with their first attempt. */
+    @Test
+    void attemptOfFirstTaskDoesNotRaiseBound() {
+        Pipeline job = accepted("batch", 100_000);
+        int bound = job.maxStoredBytes();
+        job.addAttempt(new Attempt(0, job.nextAttemptNumber(), "m-999999", 1_000));
+        assertTrue(job.maxStoredBytes() <= bound, job.maxStoredBytes() + " bytes, before " + bound);
+    }
+
     /** Values that earlier versions have filled must get space for an attempt again. */
     @ParameterizedTest
     @MethodSource("seeds")
