--- a/src/main/java/org/spoolline/cluster/Capacity.java
+++ b/src/main/java/org/spoolline/cluster/Capacity.java
@@ -73,13 +73,9 @@
                 && job.memoryGb() <= memoryGb + Constants.Placement.EPSILON;
     }
 
-    /** The number of the job's tasks that fit the free cores and memory. */
+    /** The number of the job's tasks that fit the free capacity. */
     public int freeTasks(Submission job) {
-        double count = cores / job.cores();
-        if (job.memoryGb() > 0) {
-            count = Math.min(count, memoryGb / job.memoryGb());
-        }
-        return (int) (count + Constants.Placement.EPSILON);
+        return MachineType.countTasks(job, cores, accelerators, memoryGb);
     }
 
     /** Subtracts the resources of one task of the job from the free capacity. */
--- a/src/main/java/org/spoolline/cluster/MachineType.java
+++ b/src/main/java/org/spoolline/cluster/MachineType.java
@@ -39,6 +39,11 @@
 
     /** The number of the job's tasks that fit an empty machine of this type. */
     public int tasksPerMachine(Submission job) {
+        return countTasks(job, cores, accelerators, memoryGb);
+    }
+
+    /** The number of the job's tasks that fit these amounts. */
+    static int countTasks(Submission job, double cores, double accelerators, double memoryGb) {
         double count = Math.floor(cores / job.cores() + ROUNDING_TOLERANCE);
         if (job.accelerators() > 0) {
             count = Math.min(count, Math.floor(accelerators / job.accelerators() + ROUNDING_TOLERANCE));
