--- /dev/null
+++ b/review/build-2.sh
@@ -0,0 +1,8 @@
+#!/usr/bin/env bash
+# Builds the stand-ins of the cases 4 to 8 into target/review-2. Needs the JDK only; run it after the build of the deploy
+# file.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+rm -rf target/review-2
+mkdir -p target/review-2
+javac -nowarn -d target/review-2 review/standins-2/site/*.java
