--- a/review/standins-2/site/UnansweredCase.java
+++ b/review/standins-2/site/UnansweredCase.java
@@ -48,14 +48,17 @@
             return Cases.notRun("only " + accepted.get() + " jobs were accepted");
         }
         Record.say("%d jobs are accepted", accepted.get());
-        int node = (site.nodes.leader() + 1) % Nodes.NAMES.size();
-        User user = new User(site.nodes.serveOn.get(node));
+        // The load balancer gives the user one controller for the submission and another for the polls after it.
+        int leader = site.nodes.leader();
+        String node = Nodes.NAMES.get((leader + 1) % Nodes.NAMES.size());
         Map<String, Object> job = User.array(WAITING, "cluster-merge", "intake-crew", 1, 1, 2);
         job.put("waitsOn", List.copyOf(ids.subList(0, NEEDED)));
-        if (!Cases.submit(site, user, job, 5, false)) {
+        if (!Cases.submit(site, new User(site.nodes.serveOn.get(leader)), job, 5, false)) {
             return Cases.notRun("the waiting job was not accepted");
         }
-        Record.say("%s, which waits on %d jobs, is accepted by %s", WAITING, NEEDED, Nodes.NAMES.get(node));
+        User user = new User(site.nodes.serveOn.get(Nodes.NAMES.indexOf(node)));
+        Record.say("%s, which waits on %d jobs, is accepted by %s", WAITING, NEEDED, Nodes.NAMES.get(leader));
+        Record.say("its user polls %s", node);
         if (Cases.TROUBLE) {
             for (int i = USUAL; i < USUAL * FACTOR; i++) {
                 startUser(site, i, accepted, ids, polls, answered);
