--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -8,4 +8,4 @@
     exit 2
 fi
 exec java -Dsun.net.httpserver.nodelay=true -Dsun.net.httpserver.maxIdleConnections=2000 \
-    -cp target/review-2 site.Cases drained "$here"
+    -cp target/review-2 site.Cases avoided "$here"
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-ins of the cases 4 to 8 into target/review-2. Needs the JDK only; run it after the build of the deploy
+# Builds the stand-ins of the cases 4 to 6 into target/review-2. Needs the JDK only; run it after the build of the deploy
 # file.
 set -euo pipefail
 cd "$(dirname "$0")/.."
--- a/review/standins-2/site/WaitingCases.java
+++ b/review/standins-2/site/AvoidedCase.java
@@ -5,14 +5,14 @@
 import java.util.Map;
 
 /**
- * Jobs that are left waiting while a machine that fits has room: the deployment of Pampa with two machines, each of
- * which has a task that runs for long and leaves half of the machine free.
+ * A job that is left waiting while a machine that fits has room: the deployment of Pampa with two machines. One has a
+ * task that runs for long and leaves half of the machine free, the other is full.
  */
-final class WaitingCases {
+final class AvoidedCase {
     /** Seconds for which no job may be left waiting while a machine that fits has room. */
     private static final long BOUND_MS = 90_000;
 
-    private WaitingCases() {}
+    private AvoidedCase() {}
 
     private static Site.Setup pampa(int machines) {
         return new Site.Setup(
@@ -24,7 +24,7 @@
     }
 
     /** One machine fails what it starts for a while; the job that failed there is then kept off it for good. */
-    static int avoided(Path root, Path folder) throws Exception {
+    static int run(Path root, Path folder) throws Exception {
         Site site = new Site(root, folder, pampa(2));
         site.nodes.startAll();
         if (!site.nodes.awaitReady(20_000)) {
@@ -56,44 +56,6 @@
         return judge(site, user, "run-000003", List.of(roomy));
     }
 
-    /** Two jobs submitted with a mistake fail on every machine until they are cancelled; no machine gets work then. */
-    static int drained(Path root, Path folder) throws Exception {
-        Site site = new Site(root, folder, pampa(2));
-        site.nodes.startAll();
-        if (!site.nodes.awaitReady(20_000)) {
-            return Cases.notRun("no leader");
-        }
-        User user = new User(site.nodes.serveOn.get(0));
-        if (!Cases.submit(site, user, User.array("run-000001", "archive-sync", "archive-team", 2, 10, 20), 600, false)
-                || !Site.await(20_000, () -> site.startsOf("run-000001") == 2)) {
-            return Cases.notRun("the long tasks don't run");
-        }
-        List<Worker> machines = List.of(site.machineOf("run-000001/0"), site.machineOf("run-000001/1"));
-        List<String> mistaken = List.of("run-000002", "run-000003");
-        for (String uid : mistaken) {
-            if (!Cases.submit(site, user, User.array(uid, "format-release", "editorial", 1, 1, 4.6), 1, Cases.TROUBLE)) {
-                return Cases.notRun("the job was not accepted");
-            }
-        }
-        if (Cases.TROUBLE) {
-            // Each has failed on each of the two machines.
-            Site.await(15_000, () -> site.startsOf("run-000002") >= 2 && site.startsOf("run-000003") >= 2);
-            Thread.sleep(1_000);
-            for (String uid : mistaken) {
-                if (user.cancel(uid) != 200) {
-                    return Cases.notRun("a cancellation was not answered");
-                }
-            }
-            Record.say("the users have cancelled the jobs with a mistake");
-        } else {
-            Site.await(15_000, () -> mistaken.stream().allMatch(uid -> site.endsOf(uid + "/0").equals("done")));
-        }
-        if (!Cases.submit(site, user, User.array("run-000004", "format-release", "editorial", 1, 1, 4.6), 3, false)) {
-            return Cases.notRun("the job was not accepted");
-        }
-        return judge(site, user, "run-000004", machines);
-    }
-
     /** Waits for the job's start; the rule is broken if a machine had room for it all the time and it did not start. */
     private static int judge(Site site, User user, String uid, List<Worker> machines) throws Exception {
         int before = site.startsOf(uid);
--- a/review/standins-2/site/Cases.java
+++ b/review/standins-2/site/Cases.java
@@ -27,8 +27,7 @@
         int result;
         try {
             result = switch (args[0]) {
-                case "avoided" -> WaitingCases.avoided(root, folder);
-                case "drained" -> WaitingCases.drained(root, folder);
+                case "avoided" -> AvoidedCase.run(root, folder);
                 case "spread" -> SpreadCase.run(root, folder);
                 case "unanswered" -> UnansweredCase.run(root, folder);
                 default -> NOT_RUN;
