--- a/review/standins-3/Cloud.java
+++ b/review/standins-3/Cloud.java
@@ -19,7 +19,6 @@
         boolean spot;
         double rentedAt;
         double upAt = -1;
-        double diedAt = -1;
         Worker worker;
     }
 
@@ -34,8 +33,6 @@
     private final TreeMap<String, Machine> machines = new TreeMap<>();
     private final Map<String, List<String>> hires = new HashMap<>();
     private final List<Listed> lists = new ArrayList<>();
-    /** Machines rented so far, by zone. */
-    final Map<String, Integer> rentedByZone = new LinkedHashMap<>();
     private int lastMachine;
     private double permits;
     private double refilledAt;
@@ -55,8 +52,7 @@
     private synchronized void snapshot() {
         List<Map<String, Object>> machinesNow = new ArrayList<>();
         for (Machine machine : machines.values()) {
-            boolean failed = machine.diedAt >= 0 && world.now() - machine.diedAt > 30;
-            String status = failed ? "failed" : machine.upAt < 0 ? "starting" : "running";
+            String status = machine.upAt < 0 ? "starting" : "running";
             machinesNow.add(Json.of(
                     "uid", machine.name,
                     "addr", machine.worker == null ? "127.0.0.1:1" : machine.worker.address(),
@@ -127,7 +123,6 @@
             if (granted.isEmpty()) {
                 return Wire.reply(503, Json.of("error", "no capacity"));
             }
-            rentedByZone.merge(zone, granted.size(), Integer::sum);
             hires.put(hire, granted);
         }
         return Wire.reply(200, Json.of("spoolers", granted));
@@ -199,17 +194,4 @@
         }
         return Wire.reply(200, Json.of("spoolers", page, "hasNext", hasNext));
     }
-
-    /** Stops machines with all that is on them; they are listed as running for 30 s more. */
-    synchronized void stop(String name) {
-        Machine machine = machines.get(name);
-        machine.diedAt = world.now();
-        if (machine.worker != null) {
-            machine.worker.end("machine stopped");
-        }
-    }
-
-    synchronized List<Machine> machines() {
-        return new ArrayList<>(machines.values());
-    }
 }
--- a/review/standins-3/Deployment.java
+++ b/review/standins-3/Deployment.java
@@ -53,7 +53,6 @@
         double cpuShare = 0.34;
         double ramMb = 320;
         int sockets = 2500;
-        double restartS = 4;
     }
 
     final World world;
@@ -80,12 +79,11 @@
             node.zone = config.zones.get(i);
             node.users = freeAddress();
             node.internal = freeAddress();
-            node.store = Wire.serve(world.threads, store.handlerFor(node.name));
+            node.store = Wire.serve(world.threads, store::handle);
             nodes.put(node.name, node);
             userAddresses.put(node.name, node.users);
         }
         fleet = new Fleet(world, userAddresses, config.reportS, config.leaseS, config.gangWaitS, config.gangPeerS);
-        fleet.cancelS = config.cancelS;
         Runtime.getRuntime().addShutdownHook(new Thread(this::stop));
         expireLeases();
     }
@@ -147,21 +145,6 @@
         world.record("controller " + node.name + " started");
     }
 
-    /** Kills the controller; it is started again after {@code seconds}. */
-    void crash(Node node, double seconds) {
-        world.record("controller " + node.name + " killed");
-        node.process.destroyForcibly();
-        world.after(seconds, () -> {
-            try {
-                if (!stopped) {
-                    start(node);
-                }
-            } catch (IOException e) {
-                throw new IllegalStateException(e);
-            }
-        });
-    }
-
     private String settings(Node node) {
         StringBuilder toml = new StringBuilder();
         toml.append("node_name = \"" + node.name + "\"\ndomain = \"" + node.zone + "\"\nserve_on = \"" + node.users
@@ -247,7 +230,7 @@
         return address;
     }
 
-    /** Adds the last lines of the controllers' logs to the record, and ends all processes. */
+    /** Ends all processes and removes the temporary folder; with KEEP in the environment the logs stay. */
     void stop() {
         if (stopped) {
             return;
--- a/review/standins-3/Fleet.java
+++ b/review/standins-3/Fleet.java
@@ -4,9 +4,10 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.Set;
 
-/** All workers, with what spans machines: progress, results, gangs, and the rules about running tasks. */
+/** All workers, with what spans machines: results, gangs, and the rules about running tasks. No job here saves its progress. */
 final class Fleet {
     /** One attempt of a task on a worker. */
     static final class Task {
@@ -41,13 +42,9 @@
     final double gangWaitS;
     final double gangPeerS;
     private final List<Task> onMachines = new ArrayList<>();
-    private final Map<String, Double> progress = new HashMap<>();
     private final Set<String> results = new HashSet<>();
     /** Broken rules that running tasks show. */
     final List<String> broken = new ArrayList<>();
-    /** Time of a job's confirmed cancellation, by job. */
-    final Map<String, Double> cancelledAt = new LinkedHashMap<>();
-    double cancelS = 48;
     /** Tasks that have started, by job. */
     final Map<String, Integer> starts = new LinkedHashMap<>();
 
@@ -68,18 +65,16 @@
         return worker;
     }
 
+    /** The owner's estimate for a gang; for other tasks up to a third more or less, the same in each attempt. */
     private double runS(Task task) {
-        return Json.decimal(world.job(task.jobId).get("expectS"));
+        double expectS = Json.decimal(world.job(task.jobId).get("expectS"));
+        return isGang(task) ? expectS : expectS * (1 + (new Random(task.id().hashCode()).nextDouble() - 0.5) / 1.5);
     }
 
     private boolean isGang(Task task) {
         return "group".equals(world.job(task.jobId).get("shape"));
     }
 
-    private String progressKey(Task task) {
-        return isGang(task) ? task.jobId : task.id();
-    }
-
     /** The task has its image. */
     synchronized void started(Task task) {
         if (task.exited() || task.worker.ended()) {
@@ -91,7 +86,6 @@
                 broken.add("ran_twice " + task.id() + " on " + other.worker.name() + " and " + task.worker.name());
             }
         }
-        checkCancelled(task);
         checkPlace(task, job);
         task.startedAt = world.now();
         onMachines.add(task);
@@ -112,13 +106,6 @@
         task.worker.changed();
     }
 
-    private void checkCancelled(Task task) {
-        Double at = cancelledAt.get(task.jobId);
-        if (at != null && world.now() - at > 4) {
-            broken.add("ran_cancelled: " + task.id() + " starts " + (world.now() - at) + " s after the cancellation");
-        }
-    }
-
     private void checkPlace(Task task, Map<String, Object> job) {
         String yard = (String) job.get("yard");
         List<String> zones = new ArrayList<>();
@@ -136,12 +123,10 @@
     }
 
     private void finishAfter(Task task) {
-        double leftS = runS(task) - progress.getOrDefault(progressKey(task), 0.0);
-        double startedAt = world.now();
-        world.after(Math.max(0.05, leftS), () -> finish(task, startedAt));
+        world.after(runS(task), () -> finish(task));
     }
 
-    private synchronized void finish(Task task, double startedAt) {
+    private synchronized void finish(Task task) {
         if (task.status.equals("running") && !task.worker.ended()) {
             results.add(task.id());
             exit(task, "done", false);
@@ -165,16 +150,14 @@
             return;
         }
         world.record("gang runs " + task.jobId + " try=" + task.attempt);
-        double startedAt = world.now();
         for (Task member : members) {
             member.status = "running";
             member.worker.changed();
         }
-        double leftS = runS(task) - progress.getOrDefault(task.jobId, 0.0);
-        world.after(Math.max(0.05, leftS), () -> finishGang(members, startedAt));
+        world.after(runS(task), () -> finishGang(members));
     }
 
-    private synchronized void finishGang(List<Task> members, double startedAt) {
+    private synchronized void finishGang(List<Task> members) {
         for (Task member : members) {
             if (!member.status.equals("running") || member.worker.ended()) {
                 return;
@@ -217,10 +200,6 @@
         boolean was = onMachines.remove(task);
         world.record("ends " + task.id() + " try=" + task.attempt + " on " + task.worker.name() + " " + why
                 + (task.kept ? " kept" : "") + (was ? "" : " (not started)"));
-        Double at = cancelledAt.get(task.jobId);
-        if (was && at != null && world.now() - at > cancelS) {
-            broken.add("ran_cancelled: " + task.id() + " ended " + (world.now() - at) + " s after the cancellation");
-        }
         if (was && ran && isGang(task) && !why.equals("done")) {
             for (Task mate : gang(task)) {
                 world.after(gangPeerS * 0.8, () -> {
@@ -232,16 +211,17 @@
         }
     }
 
-    synchronized boolean hasResult(String jobId, int slips) {
-        if (results.contains(jobId)) {
-            return true;
-        }
-        for (int i = 0; i < slips; i++) {
-            if (!results.contains(jobId + "/" + i)) {
-                return false;
+    /** The task's machine has lost the network: the members of a running gang notice within {@code gangPeerS}. */
+    synchronized void cut(Task task) {
+        if (task.status.equals("running") && isGang(task)) {
+            for (Task member : gang(task)) {
+                world.after(gangPeerS * 0.8, () -> {
+                    if (member.status.equals("running") && !member.worker.ended()) {
+                        exit(member, "mates_gone", false);
+                    }
+                });
             }
         }
-        return true;
     }
 
     synchronized List<Task> onMachines(String jobId) {
--- a/review/standins-3/Store.java
+++ b/review/standins-3/Store.java
@@ -1,6 +1,5 @@
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -28,8 +27,6 @@
     private double requests;
     private double writes;
     private long refilledAt = System.nanoTime();
-    /** Requests and rejected requests by node, for the record. */
-    final Map<String, int[]> counts = new LinkedHashMap<>();
 
     Store(double rps, double writeRps, int valueBytes, int txnOps) {
         this.rps = rps;
@@ -40,32 +37,13 @@
         writes = writeRps;
     }
 
-    Wire.Handler handlerFor(String node) {
-        return request -> {
-            Wire.Reply reply = handle(request);
-            synchronized (this) {
-                int[] count = counts.computeIfAbsent(node, key -> new int[2]);
-                count[0]++;
-                if (reply.status() == 429) {
-                    count[1]++;
-                }
-            }
-            return reply;
-        };
-    }
-
     /** The value of a key; null if there is none. */
     synchronized Object get(String key) {
         Value value = values.get(key);
         return value == null ? null : value.json();
     }
 
-    /** The number of keys with a prefix. */
-    synchronized int count(String prefix) {
-        return values.subMap(prefix, prefix + "\uffff").size();
-    }
-
-    private Wire.Reply handle(Wire.Request request) throws InterruptedException {
+    Wire.Reply handle(Wire.Request request) throws InterruptedException {
         String path = request.path();
         if (path.equals("/follow")) {
             return follow(query(request.query()));
--- a/review/standins-3/User.java
+++ b/review/standins-3/User.java
@@ -1,6 +1,6 @@
 import java.util.Map;
 
-/** One user with one job: submits it, polls it, cancels it, through the load balancer, with retries as PROTOCOL says. */
+/** One user with one job: submits it and polls it, through the load balancer, with retries as PROTOCOL says. */
 final class User {
     private final Deployment deployment;
     private final World world;
@@ -9,12 +9,6 @@
     private Wire.Client client;
     volatile boolean accepted;
     volatile String status = "";
-    volatile double acceptedAt = -1;
-    /** When a poll was last answered with 200 and, before the first one, when the job was accepted. */
-    volatile double answeredAt = -1;
-    volatile int polls;
-    volatile int answeredPolls;
-    volatile boolean quiet;
 
     User(Deployment deployment, Map<String, Object> job) {
         this.deployment = deployment;
@@ -44,10 +38,8 @@
         Wire.Client used = client;
         Wire.Reply reply = used.call(method, path, body, timeoutMs);
         String node = deployment.nodeAt(used.target());
-        if (!quiet) {
-            world.record(method + " " + path + " at " + node + " -> " + (reply.status() == 0 ? "no response" : reply.status())
-                    + " " + reply.body());
-        }
+        world.record(method + " " + path + " at " + node + " -> " + (reply.status() == 0 ? "no response" : reply.status())
+                + " " + reply.body());
         if (!used.isOpen()) {
             deployment.disconnected(used);
             client = null;
@@ -56,15 +48,13 @@
     }
 
     /** Submits the job with retries; true if it was accepted. */
-    boolean submit() {
+    private boolean submit() {
         double startedAt = world.now();
         String body = Json.write(job);
         while (world.now() - startedAt < 60) {
             Wire.Reply reply = call("POST", "/submissions", body, 5000);
             if (reply.status() == 200 || reply.status() == 201) {
                 status = (String) Json.object(reply.body()).get("status");
-                acceptedAt = world.now();
-                answeredAt = acceptedAt;
                 accepted = true;
                 return true;
             }
@@ -76,21 +66,11 @@
         return false;
     }
 
-    void close() {
-        if (client != null) {
-            deployment.disconnected(client);
-            client = null;
-        }
-    }
-
     private void poll() {
         while (!status.equals("done") && !status.equals("aborted")) {
             World.sleep(4.75 + 0.5 * world.random.nextDouble());
             Wire.Reply reply = call("GET", "/submissions/" + uid, null, 2000);
-            polls++;
             if (reply.status() == 200) {
-                answeredPolls++;
-                answeredAt = world.now();
                 status = (String) Json.object(reply.body()).get("status");
             }
         }
--- a/review/standins-3/Worker.java
+++ b/review/standins-3/Worker.java
@@ -26,6 +26,7 @@
     private double raisedAt = -100;
     private boolean changed = true;
     private volatile boolean ended;
+    private volatile boolean cut;
     private int target;
 
     Worker(Fleet fleet, Cloud.Machine machine) {
@@ -86,6 +87,16 @@
         }
     }
 
+    /** The machine loses the network: nothing reaches it any more, and nothing of it reaches others. */
+    void cut() {
+        cut = true;
+        List<Fleet.Task> mine;
+        synchronized (this) {
+            mine = new ArrayList<>(tasks.values());
+        }
+        mine.forEach(fleet::cut);
+    }
+
     synchronized void changed() {
         changed = true;
         notifyAll();
@@ -128,12 +139,15 @@
                 sentShift = shift;
                 body = reportBody();
             }
-            Wire.Reply reply = client.call("POST", "/checkin", body, 4000);
+            if (cut) {
+                World.sleep(4);
+            }
+            Wire.Reply reply = cut ? Wire.Reply.NONE : client.call("POST", "/checkin", body, 4000);
             if (ended) {
                 client.close();
                 return;
             }
-            if (reply.status() == 200) {
+            if (reply.status() == 200 && !cut) {
                 apply(Json.object(reply.body()), sentAt, sentShift);
                 waitForNextReport();
             } else {
@@ -217,7 +231,7 @@
     }
 
     private Wire.Reply serve(Wire.Request request) {
-        if (ended) {
+        if (ended || cut) {
             return null;
         }
         synchronized (this) {
