--- a/review/standins-3/Cloud.java
+++ b/review/standins-3/Cloud.java
@@ -7,9 +7,9 @@
 
 /** The cloud of PROTOCOL: rents machines, boots a worker on each, lists them late. */
 final class Cloud {
-    /** A machine type with the zones that offer it and the number of machines for each zone and kind. */
+    /** A machine type with the zones that offer it, and how many ordinary and cheap machines each zone has, in order. */
     record Type(String name, double cores, double memGb, double rate, double spotPrice, double startupS,
-            List<String> zones, int ordinary, int spot) {}
+            List<String> zones, List<Integer> ordinary, List<Integer> spot) {}
 
     /** A rented machine. */
     static final class Machine {
@@ -114,7 +114,7 @@
             boolean spot = (Boolean) request.get("standby");
             long count = Math.min(50, Json.number(request.get("count")));
             granted = new ArrayList<>();
-            int capacity = spot ? type.spot() : type.ordinary();
+            int capacity = (spot ? type.spot() : type.ordinary()).get(type.zones().indexOf(zone));
             while (granted.size() < count && inUse(type, zone, spot) < capacity) {
                 granted.add(add(type, zone, spot).name);
             }
--- a/review/standins-3/TeamLimitCase.java
+++ b/review/standins-3/TeamLimitCase.java
@@ -59,7 +59,7 @@
             deployment = new Deployment(world, config);
             // Machines boot in 0.6 times the nominal time.
             deployment.start(12, List.of(
-                    new Cloud.Type("araucaria-16", 16, 128, 0.76, 0.2, 20, List.of("guaiba"), 86, 8)));
+                    new Cloud.Type("araucaria-16", 16, 128, 0.76, 0.2, 20, List.of("guaiba"), List.of(86), List.of(8))));
             code = run(deployment, trouble);
         } catch (RuntimeException e) {
             e.printStackTrace();
