Review, case 7: cut the machine off for the 20 s of the site file

Cause: the case cut the machine off to the end of the test, while the site file's cuts last 20 s; and the run times of its tasks were hardly spread, so that many ended at once.

Change: the cut lasts 20 s, and run times differ by up to a third, independently.

--- a/review/standins-3/Fleet.java
+++ b/review/standins-3/Fleet.java
@@ -68,7 +68,7 @@
     /** The owner's estimate for a gang; for other tasks up to a third more or less, the same in each attempt. */
     private double runS(Task task) {
         double expectS = Json.decimal(world.job(task.jobId).get("expectS"));
-        return isGang(task) ? expectS : expectS * (1 + (new Random(task.id().hashCode()).nextDouble() - 0.5) / 1.5);
+        return isGang(task) ? expectS : expectS * (1 + (new Random(task.id().hashCode() * 0x9E3779B97F4A7C15L).nextDouble() - 0.5) / 1.5);
     }
 
     private boolean isGang(Task task) {
--- a/review/standins-3/TeamLimitCase.java
+++ b/review/standins-3/TeamLimitCase.java
@@ -90,8 +90,9 @@
         int startsBefore = starts(fleet);
         if (trouble) {
             Worker lost = fleet.onMachines(GANG).get(0).worker;
-            world.record("trouble: machine " + lost.name() + " of the gang loses the network");
+            world.record("trouble: machine " + lost.name() + " of the gang loses the network for 20 s");
             lost.cut();
+            world.after(20, lost::reconnect);
         }
         waitUntil(world, 116 - world.now(), () -> gang.status.equals("done"));
         int startsAfter = starts(fleet);
--- a/review/standins-3/Worker.java
+++ b/review/standins-3/Worker.java
@@ -97,6 +97,12 @@
         mine.forEach(fleet::cut);
     }
 
+    /** The network of the machine is back. */
+    void reconnect() {
+        cut = false;
+        world.record("worker " + name() + " has its network back");
+    }
+
     synchronized void changed() {
         changed = true;
         notifyAll();
