--- a/src/main/java/org/spoolline/config/Constants.java
+++ b/src/main/java/org/spoolline/config/Constants.java
@@ -12,6 +12,12 @@
 
         /** Maximum size of a request body, set by the protocol. */
         public static final int MAX_BODY_BYTES = 64 * 1024;
+        /** Maximum size in bytes of a response: a page of a listing takes 512 KiB, a watch may return many changes. */
+        public static final int MAX_RESPONSE_BYTES = 4 * 1024 * 1024;
+        /** Maximum depth of nested objects and arrays: each level takes a byte of a body or more. */
+        public static final int MAX_NESTING_DEPTH = MAX_BODY_BYTES;
+        /** Maximum characters of a number, and of a field name: neither is longer than a body. */
+        public static final int MAX_TOKEN_CHARS = MAX_BODY_BYTES;
         /** Response body for a request body over {@link #MAX_BODY_BYTES}. */
         public static final byte[] BODY_TOO_LARGE = "{\"error\":\"body over 64 KiB\"}".getBytes(StandardCharsets.UTF_8);
         /** Initial buffer for a body of unknown length: most responses fit, and the buffer is short-lived. */
--- a/src/main/java/org/spoolline/net/Json.java
+++ b/src/main/java/org/spoolline/net/Json.java
@@ -1,6 +1,7 @@
 package org.spoolline.net;
 
 import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonFactoryBuilder;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
@@ -15,7 +16,8 @@
  * Reads and writes JSON as trees. Heartbeats are so frequent that they are read without a tree, with {@link #parser}.
  */
 public final class Json {
-    private static final JsonFactory FORMAT = new JsonFactory();
+    private static final JsonFactory FORMAT =
+            FormatLimits.apply(new JsonFactoryBuilder()).build();
     private static final TreeCodec CODEC = new TreeCodec(FORMAT);
 
     private Json() {}
--- a/src/main/java/org/spoolline/peer/Cbor.java
+++ b/src/main/java/org/spoolline/peer/Cbor.java
@@ -8,10 +8,12 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import org.spoolline.codec.TreeCodec;
+import org.spoolline.net.FormatLimits;
 
 /** Reads and writes CBOR trees, the encoding of all messages between controllers. */
 final class Cbor {
-    private static final TreeCodec CODEC = new TreeCodec(new CBORFactory());
+    private static final TreeCodec CODEC =
+            new TreeCodec(FormatLimits.apply(CBORFactory.builder()).build());
 
     private Cbor() {}
 
