Bound what unfinished requests of all clients hold, and end each in time

What callers saw: nothing yet; found by looking for other paths of the incident's class. A client that opens connections and never finishes a request takes one socket each, without a bound below the quota, so new connections of the load balancer, workers and to the state service would fail.

Cause: connections were not counted; only idle ones ended, after 60 s. A head could have 1 MiB by the library's default. A body was given its announced length at once, so 64 KiB of heap for a few bytes, and no time to arrive in.

Change: InboundConnections keeps at most 80% of the quota open; beyond that it closes the oldest connection that has sent no complete request, then the one whose last request is the oldest. Heads have 8 KiB, 64 headers and 5 s (Undertow's options), answers that nobody reads 5 s (XNIO's option). RequestBody grows its buffer with what arrives, gives up after 5 s (408), and UnfinishedBodies gives up the oldest above 16 MiB in all (503): both are statuses after which users retry. A chunked body that is malformed gets 400 instead of a closed connection. The internal address takes 72 KiB, since a forwarded request of the maximum size did not fit into 64 KiB. Counters by reason, and inboundConnections in GET /counters.

Why it works: whichever part is missing, a connection in use is never the one that is closed first, and the sum is bounded by constants below heap and quota.

--- a/src/main/java/org/spoolline/Controller.java
+++ b/src/main/java/org/spoolline/Controller.java
@@ -2,6 +2,7 @@
 
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.IntSupplier;
 import java.util.random.RandomGenerator;
 import org.spoolline.api.JobApi;
 import org.spoolline.autoscaler.Autoscaler;
@@ -14,9 +15,11 @@
 import org.spoolline.job.JobTable;
 import org.spoolline.kvstore.KeyValueStoreClient;
 import org.spoolline.metrics.Counters;
+import org.spoolline.metrics.Event;
 import org.spoolline.metrics.StallMonitor;
 import org.spoolline.net.EventLoop;
 import org.spoolline.net.Http;
+import org.spoolline.net.RequestFailure;
 import org.spoolline.peer.PeerService;
 import org.spoolline.scheduler.CycleListener;
 import org.spoolline.scheduler.Scheduler;
@@ -28,12 +31,13 @@
  * One controller node: creates the components of the node and connects them. The event loop with its clock, the random
  * generator and the network are passed in. All methods are called on the event loop.
  */
-public final class Controller implements LeaderElection.Listener {
+public final class Controller implements LeaderElection.Listener, RequestFailure.Listener {
     /** Path on the internal address at which operators read the node's status and counters. */
     public static final String COUNTERS_PATH = "/counters";
 
     private final EventLoop loop;
     private final Counters counters;
+    private final NodeStatus status;
     private final LeaderElection election;
     private final MachineTypeCatalog catalog;
     private final JobTable jobs = new JobTable();
@@ -86,8 +90,7 @@
                 scheduler::machineChanged,
                 counters);
         health = new NodeHealth(loop, store, catalog, election, heartbeatService, peerService);
-        NodeStatus status =
-                new NodeStatus(settings.node(), election, staleness, store, catalog, stallMonitor, counters);
+        status = new NodeStatus(settings.node(), election, staleness, store, catalog, stallMonitor, counters);
         router = new RequestRouter(jobApi, heartbeatService, peerService, store, health, status, counters);
     }
 
@@ -119,6 +122,24 @@
         router.serve(request, responder);
     }
 
+    /** Counts a request or connection that the HTTP server has ended itself. */
+    @Override
+    public void requestFailed(RequestFailure failure) {
+        counters.count(
+                switch (failure) {
+                    case BODY_TOO_LARGE -> Event.REQUEST_BODY_TOO_LARGE;
+                    case BODY_MALFORMED -> Event.REQUEST_BODY_MALFORMED;
+                    case BODY_TIMED_OUT -> Event.REQUEST_BODY_TIMED_OUT;
+                    case BODY_EVICTED -> Event.REQUEST_BODY_EVICTED;
+                    case CONNECTION_EVICTED -> Event.CONNECTION_EVICTED;
+                });
+    }
+
+    /** Sets the source of the number of open inbound connections, for the node's status. */
+    public void reportOpenConnections(IntSupplier openConnections) {
+        status.reportOpenConnections(openConnections);
+    }
+
     /** Serves a request of another controller, or of an operator who reads the counters. */
     public void servePeer(Http.Request request, Consumer<Http.Response> responder) {
         router.servePeer(request, responder);
--- a/src/main/java/org/spoolline/NodeStatus.java
+++ b/src/main/java/org/spoolline/NodeStatus.java
@@ -1,6 +1,7 @@
 package org.spoolline;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.function.IntSupplier;
 import org.spoolline.cluster.MachineTypeCatalog;
 import org.spoolline.election.LeaderElection;
 import org.spoolline.election.StalenessBound;
@@ -21,6 +22,7 @@
     private final MachineTypeCatalog catalog;
     private final StallMonitor stallMonitor;
     private final Counters counters;
+    private IntSupplier openConnections = () -> 0;
 
     NodeStatus(
             String node,
@@ -39,6 +41,11 @@
         this.counters = counters;
     }
 
+    /** Sets the source of the number of open inbound connections. */
+    void reportOpenConnections(IntSupplier source) {
+        openConnections = source;
+    }
+
     /** The current status. "stalled" is null unless this node is the leader and places no task although jobs wait. */
     ObjectNode toJson() {
         ObjectNode status = Json.object()
@@ -49,6 +56,7 @@
                 .put("leadershipValid", election.hasValidLease())
                 .put("mayLaunch", staleness.mayLaunch())
                 .put("stateReachable", store.reachable())
+                .put("inboundConnections", openConnections.getAsInt())
                 .put("machineTypesKnown", catalog.isKnown())
                 .put("stalled", currentStall());
         status.set("counts", counters.toJson());
--- a/src/main/java/org/spoolline/api/JobApi.java
+++ b/src/main/java/org/spoolline/api/JobApi.java
@@ -40,7 +40,8 @@
         cancellationHandler = new CancellationHandler(store, reader, notifier, confirmer);
         statusHandler = new StatusHandler(loop, store, reader, ancestorChecker, cancellationHandler, confirmer);
         SubmissionValidator validator = new SubmissionValidator(settings, catalog);
-        submissionHandler = new SubmissionHandler(loop, store, versions, validator, ancestorChecker, statusHandler);
+        submissionHandler =
+                new SubmissionHandler(loop, store, versions, validator, ancestorChecker, statusHandler, counters);
     }
 
     /** True if the path belongs to this API. */
--- a/src/main/java/org/spoolline/api/SubmissionHandler.java
+++ b/src/main/java/org/spoolline/api/SubmissionHandler.java
@@ -8,6 +8,8 @@
 import org.spoolline.job.JobKeys;
 import org.spoolline.kvstore.KeyValueStoreClient;
 import org.spoolline.kvstore.Transaction;
+import org.spoolline.metrics.Counters;
+import org.spoolline.metrics.Event;
 import org.spoolline.net.EventLoop;
 import org.spoolline.net.Http;
 import org.spoolline.net.Json;
@@ -30,6 +32,7 @@
     private final AncestorChecker ancestorChecker;
     private final StatusHandler statusHandler;
     private final DescriptionLimit descriptionLimit;
+    private final Counters counters;
 
     SubmissionHandler(
             EventLoop loop,
@@ -37,13 +40,15 @@
             VersionRegistry versions,
             SubmissionValidator validator,
             AncestorChecker ancestorChecker,
-            StatusHandler statusHandler) {
+            StatusHandler statusHandler,
+            Counters counters) {
         this.loop = loop;
         this.store = store;
         this.versions = versions;
         this.validator = validator;
         this.ancestorChecker = ancestorChecker;
         this.statusHandler = statusHandler;
+        this.counters = counters;
         this.descriptionLimit = new DescriptionLimit(store);
     }
 
@@ -53,7 +58,8 @@
         try {
             job = SubmissionCodec.parse(Json.read(body));
         } catch (SubmissionCodec.Malformed e) {
-            LOG.info("Rejected malformed submission: reason={}", e.getMessage());
+            LOG.info("Rejected malformed submission: reason={} bytes={}", e.getMessage(), body.length);
+            counters.count(e.isNotJson() ? Event.SUBMISSION_NOT_JSON : Event.SUBMISSION_FIELD_INVALID);
             responder.accept(JobResponseCodec.malformed(e));
             return;
         }
--- a/src/main/java/org/spoolline/cli/ClassArchiveTraining.java
+++ b/src/main/java/org/spoolline/cli/ClassArchiveTraining.java
@@ -46,7 +46,7 @@
         Settings settings = settings();
         XnioWorker worker = ProcessNetwork.createWorker();
         network = ProcessNetwork.create(worker, settings);
-        network.server().listen(servicesAddress, this::serveServices);
+        network.server().listen(servicesAddress, Constants.Network.MAX_BODY_BYTES, this::serveServices);
         NodeProcess.start(settings, worker);
         worker.getIoThread().execute(this::scheduleRequests);
         return finished.await(TIMEOUT_S, TimeUnit.SECONDS);
--- a/src/main/java/org/spoolline/cli/NodeProcess.java
+++ b/src/main/java/org/spoolline/cli/NodeProcess.java
@@ -24,6 +24,8 @@
         this.settings = settings;
         network = ProcessNetwork.create(worker, settings);
         controller = new Controller(settings, network.loop(), network.caller(), new SplittableRandom());
+        network.server().reportFailuresTo(controller);
+        controller.reportOpenConnections(network.server()::openConnections);
     }
 
     /** Serves until the process is killed; returns an exit code if the node could not start. */
@@ -59,28 +61,39 @@
      */
     private void startController() {
         controller.start(this::listenForUsers);
-        listen(settings.internalAddress(), controller::servePeer, Constants.Network.BIND_TRIES);
+        listen(
+                settings.internalAddress(),
+                Constants.Network.MAX_PEER_BODY_BYTES,
+                controller::servePeer,
+                Constants.Network.BIND_TRIES);
         network.loop().after(Constants.Process.LEADER_DISCOVERY_TIMEOUT_MS, this::listenForUsers);
     }
 
     private void listenForUsers() {
         if (!listeningForUsers) {
             listeningForUsers = true;
-            listen(settings.serveOn(), controller::serve, Constants.Network.BIND_TRIES);
+            listen(
+                    settings.serveOn(),
+                    Constants.Network.MAX_BODY_BYTES,
+                    controller::serve,
+                    Constants.Network.BIND_TRIES);
         }
     }
 
     /** Listens on an address; retries while it is in use, since a process that was just killed may still hold it. */
-    private void listen(String address, Http.Handler handler, int triesLeft) {
+    private void listen(String address, int maxBodyBytes, Http.Handler handler, int triesLeft) {
         try {
-            network.server().listen(address, handler);
+            network.server().listen(address, maxBodyBytes, handler);
         } catch (IOException | RuntimeException e) {
             // Catches every exception: a node that can't listen is unreachable and has to exit, regardless of the
             // cause.
             Throwable cause = rootCause(e);
             boolean inUse = cause instanceof BindException;
             if (inUse && triesLeft > 1) {
-                network.loop().after(Constants.Network.BIND_RETRY_MS, () -> listen(address, handler, triesLeft - 1));
+                network.loop()
+                        .after(
+                                Constants.Network.BIND_RETRY_MS,
+                                () -> listen(address, maxBodyBytes, handler, triesLeft - 1));
             } else {
                 halt(address, inUse ? "address in use or not ours" : cause.toString());
             }
--- a/src/main/java/org/spoolline/cli/ProcessNetwork.java
+++ b/src/main/java/org/spoolline/cli/ProcessNetwork.java
@@ -42,12 +42,13 @@
      */
     static ProcessNetwork create(XnioWorker worker, Settings settings) {
         XnioIoThread thread = worker.getIoThread();
-        ExceptionBoundary boundary = new ExceptionBoundary(Runtime.getRuntime()::halt);
+        ExceptionBoundary boundary = new ExceptionBoundary(exitCode -> Runtime.getRuntime()
+                .halt(ProcessExit.report(exitCode, "unrecoverable error, named in the line before")));
         DefaultByteBufferPool buffers =
                 new DefaultByteBufferPool(false, Constants.Network.BUFFER_BYTES, Constants.Network.BUFFER_POOL_SIZE, 0);
         return new ProcessNetwork(
                 new XnioEventLoop(thread, boundary),
                 new UndertowCaller(thread, buffers, settings.idleConnections(), boundary),
-                new UndertowServer(worker, buffers, settings.backlog(), boundary));
+                new UndertowServer(worker, buffers, settings.backlog(), settings.maxInboundConnections(), boundary));
     }
 }
--- a/src/main/java/org/spoolline/config/Settings.java
+++ b/src/main/java/org/spoolline/config/Settings.java
@@ -205,6 +205,12 @@
                 quota.sockets() / Constants.Network.SOCKETS_PER_IDLE_CONNECTION);
     }
 
+    /** Maximum number of open inbound connections. */
+    public int maxInboundConnections() {
+        return Math.max(Constants.Network.IDLE_CONNECTIONS_MIN, (int)
+                (quota.sockets() * Constants.Network.INBOUND_SOCKET_SHARE));
+    }
+
     /** Maximum number of early-heartbeat requests in flight: each occupies a socket until its response or timeout. */
     public int maxEarlyHeartbeatRequests() {
         return Math.max(
--- a/src/main/java/org/spoolline/metrics/Event.java
+++ b/src/main/java/org/spoolline/metrics/Event.java
@@ -92,6 +92,21 @@
     /** The key-value store refused an election request of this node or did not respond. */
     ELECTION_UNANSWERED,
 
+    /** A request was rejected because its body is larger than the limit. */
+    REQUEST_BODY_TOO_LARGE,
+    /** A request was rejected because its body ended early or its chunks are malformed. */
+    REQUEST_BODY_MALFORMED,
+    /** A request was ended because its body was not complete in time. */
+    REQUEST_BODY_TIMED_OUT,
+    /** A request was ended because all unfinished bodies together took too much memory. */
+    REQUEST_BODY_EVICTED,
+    /** A connection was closed because too many were open. */
+    CONNECTION_EVICTED,
+    /** A submission was rejected because its body is not a JSON object. */
+    SUBMISSION_NOT_JSON,
+    /** A submission was rejected because a field is missing or invalid. */
+    SUBMISSION_FIELD_INVALID,
+
     /** A user's request was processed. */
     USER_SERVED,
     /** A user's request was rejected because it is malformed, can't be satisfied or names an unknown job. */
--- a/src/main/java/org/spoolline/net/UndertowServer.java
+++ b/src/main/java/org/spoolline/net/UndertowServer.java
@@ -4,6 +4,7 @@
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.protocol.http.HttpOpenListener;
+import io.undertow.server.protocol.http.HttpServerConnection;
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
 import io.undertow.util.SameThreadExecutor;
@@ -11,123 +12,144 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
-import java.util.Arrays;
+import java.util.concurrent.TimeUnit;
 import org.spoolline.config.Constants;
+import org.xnio.ChannelListener;
 import org.xnio.ChannelListeners;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
 import org.xnio.Options;
+import org.xnio.StreamConnection;
 import org.xnio.XnioWorker;
-import org.xnio.channels.StreamSourceChannel;
 
-/** Listens on addresses and passes requests to their handlers on the event loop. */
+/**
+ * Listens on addresses and passes requests to their handlers on the event loop. What all clients together can hold
+ * without finishing a request is bounded: connections, heads, bodies and the time of each.
+ */
 public final class UndertowServer {
+    private static final HttpString RETRY_AFTER = new HttpString("Retry-After");
+
     private final XnioWorker worker;
     private final ByteBufferPool buffers;
     private final int backlog;
     private final ExceptionBoundary boundary;
+    private final InboundConnections connections;
+    private final UnfinishedBodies unfinishedBodies =
+            new UnfinishedBodies(Constants.Network.MAX_UNFINISHED_BODIES_BYTES);
+    private RequestFailure.Listener failureListener = failure -> {};
 
     /**
      * Creates a server that does not listen yet.
      *
      * @param backlog maximum number of connections that wait to be accepted, which must cover the workers that
      *     reconnect to this node at once after another node has ended
+     * @param maxConnections maximum number of open connections on all addresses
      */
-    public UndertowServer(XnioWorker worker, ByteBufferPool buffers, int backlog, ExceptionBoundary boundary) {
+    public UndertowServer(
+            XnioWorker worker, ByteBufferPool buffers, int backlog, int maxConnections, ExceptionBoundary boundary) {
         this.worker = worker;
         this.buffers = buffers;
         this.backlog = backlog;
         this.boundary = boundary;
+        this.connections = new InboundConnections(maxConnections, this::notifyListener);
     }
 
-    /** Starts to listen on an address given as host:port; throws an IOException if the address can't be bound. */
-    public void listen(String address, Http.Handler handler) throws IOException {
-        OptionMap http = OptionMap.builder()
-                .set(UndertowOptions.ALWAYS_SET_DATE, false)
-                .set(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
-                .set(UndertowOptions.NO_REQUEST_TIMEOUT, Constants.Network.IDLE_CONNECTION_MS)
-                .set(UndertowOptions.RECORD_REQUEST_START_TIME, false)
-                .getMap();
-        HttpOpenListener opener = new HttpOpenListener(buffers, http);
-        opener.setRootHandler(exchange -> receive(exchange, handler));
+    /** Sets the receiver of the requests and connections that the server ends itself. */
+    public void reportFailuresTo(RequestFailure.Listener listener) {
+        failureListener = listener;
+    }
+
+    /** Returns the number of open connections of clients. */
+    public int openConnections() {
+        return connections.size();
+    }
+
+    /**
+     * Starts to listen on an address given as host:port; throws an IOException if the address can't be bound.
+     *
+     * @param maxBodyBytes maximum size of a request body; a larger one gets status 400
+     */
+    public void listen(String address, int maxBodyBytes, Http.Handler handler) throws IOException {
+        HttpOpenListener opener = new HttpOpenListener(buffers, httpOptions());
+        opener.setRootHandler(exchange -> receive(exchange, maxBodyBytes, handler));
         OptionMap sockets = OptionMap.builder()
                 .set(Options.TCP_NODELAY, true)
                 .set(Options.REUSE_ADDRESSES, true)
                 .set(Options.BACKLOG, backlog)
+                .set(Options.WRITE_TIMEOUT, Constants.Network.RESPONSE_TIMEOUT_MS)
                 .getMap();
+        ChannelListener<StreamConnection> accepted = connection -> connections.open(connection, opener);
         worker.createStreamConnectionServer(
-                        socketAddress(address), ChannelListeners.openListenerAdapter(opener), sockets)
+                        socketAddress(address), ChannelListeners.openListenerAdapter(accepted), sockets)
                 .resumeAccepts();
     }
 
+    private static OptionMap httpOptions() {
+        return OptionMap.builder()
+                .set(UndertowOptions.ALWAYS_SET_DATE, false)
+                .set(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
+                .set(UndertowOptions.RECORD_REQUEST_START_TIME, false)
+                .set(UndertowOptions.NO_REQUEST_TIMEOUT, Constants.Network.IDLE_CONNECTION_MS)
+                .set(UndertowOptions.REQUEST_PARSE_TIMEOUT, Constants.Network.REQUEST_TIMEOUT_MS)
+                .set(UndertowOptions.MAX_HEADER_SIZE, Constants.Network.MAX_HEAD_BYTES)
+                .set(UndertowOptions.MAX_HEADERS, Constants.Network.MAX_HEADERS)
+                .set(UndertowOptions.MAX_PARAMETERS, Constants.Network.MAX_QUERY_PARAMETERS)
+                .getMap();
+    }
+
     private static InetSocketAddress socketAddress(String address) throws IOException {
         int colon = address.lastIndexOf(':');
         InetAddress host = InetAddress.getByName(address.substring(0, colon));
         return new InetSocketAddress(host, Integer.parseInt(address.substring(colon + 1)));
     }
 
-    private void receive(HttpServerExchange exchange, Http.Handler handler) {
-        if (exchange.getRequestContentLength() > Constants.Network.MAX_BODY_BYTES) {
-            reject(exchange);
-            return;
-        }
+    private void receive(HttpServerExchange exchange, int maxBodyBytes, Http.Handler handler) {
         if (exchange.isRequestComplete()) {
             dispatch(exchange, new byte[0], handler);
             return;
         }
-        long length = exchange.getRequestContentLength();
-        ByteBuffer body = ByteBuffer.allocate(length >= 0 ? (int) length + 1 : Constants.Network.READ_CHUNK_BYTES);
-        read(exchange, exchange.getRequestChannel(), body, handler);
-    }
+        RequestBody.Receiver receiver = new RequestBody.Receiver() {
+            @Override
+            public void complete(byte[] body) {
+                dispatch(exchange, body, handler);
+            }
 
-    /**
-     * Reads the body in chunks: Undertow's own receiver copies it byte by byte, which is half the cost of a heartbeat.
-     */
-    private void read(
-            HttpServerExchange exchange, StreamSourceChannel source, ByteBuffer received, Http.Handler handler) {
-        ByteBuffer body = received;
-        try {
-            while (true) {
-                if (!body.hasRemaining()) {
-                    if (body.position() > Constants.Network.MAX_BODY_BYTES) {
-                        reject(exchange);
-                        return;
-                    }
-                    body = ByteBuffer.allocate(body.capacity() * 2).put(body.flip());
-                }
-                int count = source.read(body);
-                if (count < 0) {
-                    dispatch(exchange, Arrays.copyOf(body.array(), body.position()), handler);
-                    return;
-                }
-                if (count == 0) {
-                    ByteBuffer incomplete = body;
-                    source.getReadSetter().set(channel -> read(exchange, source, incomplete, handler));
-                    source.resumeReads();
-                    return;
-                }
+            @Override
+            public void failed(RequestFailure failure) {
+                reject(exchange, failure);
             }
-        } catch (IOException e) {
-            IoUtils.safeClose(exchange.getConnection());
-        }
+        };
+        new RequestBody(exchange, maxBodyBytes, unfinishedBodies, receiver).start();
     }
 
-    private static void reject(HttpServerExchange exchange) {
+    /** Sends the failure to the client, which has a short time to read it while the rest of the body is discarded. */
+    private void reject(HttpServerExchange exchange, RequestFailure failure) {
+        notifyListener(failure);
         exchange.setPersistent(false);
-        send(exchange, Http.Response.of(400, Constants.Network.BODY_TOO_LARGE));
+        exchange.getIoThread()
+                .executeAfter(
+                        () -> IoUtils.safeClose(exchange.getConnection()),
+                        Constants.Network.REJECTED_CONNECTION_MS,
+                        TimeUnit.MILLISECONDS);
+        send(exchange, failure.response());
+    }
+
+    private void notifyListener(RequestFailure failure) {
+        failureListener.requestFailed(failure);
     }
 
     private void dispatch(HttpServerExchange exchange, byte[] body, Http.Handler handler) {
         if (exchange.isResponseStarted()) {
             return;
         }
+        connections.requestCompleted(((HttpServerConnection) exchange.getConnection()).getChannel());
         Http.Request request = new Http.Request(
                 exchange.getRequestMethod().toString(), exchange.getRequestPath(), exchange.getQueryString(), body);
         // The handler runs within this call. A request queued as a task of the loop would delay network reads and
         // timers, which the loop processes only when its task queue is empty.
         exchange.dispatch(SameThreadExecutor.INSTANCE, () -> {
             boolean succeeded = boundary.run(
-                    request.method() + " " + request.path(),
+                    request.method() + " " + request.path() + " bytes=" + body.length,
                     () -> handler.handle(request, response -> send(exchange, response)));
             if (!succeeded && !exchange.isResponseStarted()) {
                 send(exchange, new Http.Response(503, new byte[0], Constants.Api.RETRY_AFTER_S));
@@ -141,7 +163,7 @@
             exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
         }
         if (response.retryAfterS() > 0) {
-            exchange.getResponseHeaders().put(new HttpString("Retry-After"), response.retryAfterS());
+            exchange.getResponseHeaders().put(RETRY_AFTER, response.retryAfterS());
         }
         exchange.getResponseSender().send(ByteBuffer.wrap(response.body()));
     }
--- a/src/main/java/org/spoolline/pipeline/SubmissionCodec.java
+++ b/src/main/java/org/spoolline/pipeline/SubmissionCodec.java
@@ -57,10 +57,20 @@
     /** Thrown for a malformed submission. The message is for the user and names the field. Has no stack trace. */
     public static final class Malformed extends Exception {
         private static final long serialVersionUID = 1L;
+        private static final String NOT_JSON = "the body is not a JSON object";
 
         Malformed(String message) {
             super(message, null, false, false);
         }
+
+        private static Malformed notJson() {
+            return new Malformed(NOT_JSON);
+        }
+
+        /** True if the body is not a JSON object, false if a field is missing or invalid. */
+        public boolean isNotJson() {
+            return NOT_JSON.equals(getMessage());
+        }
     }
 
     private SubmissionCodec() {}
@@ -78,7 +88,7 @@
      */
     public static Submission parse(JsonNode body) throws Malformed {
         if (!body.isObject()) {
-            throw new Malformed("the body is not a JSON object");
+            throw Malformed.notJson();
         }
         FieldReader fields = new FieldReader(body);
         String jobId = jobId(fields);
