--- a/src/main/java/org/spoolline/net/ExceptionBoundary.java
+++ b/src/main/java/org/spoolline/net/ExceptionBoundary.java
@@ -1,6 +1,8 @@
 package org.spoolline.net;
 
+import java.util.Arrays;
 import java.util.function.IntConsumer;
+import java.util.stream.Collectors;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.spoolline.config.Constants;
@@ -29,15 +31,29 @@
             task.run();
             return true;
         } catch (RuntimeException e) {
-            LOG.error("Task failed: task={}", name, e);
+            LOG.error("Task failed: task={} error={} stack={}", name, e, stackOf(e));
         } catch (Error e) {
             // Logging may fail for the same reason as the task and must not prevent the process from ending.
             try {
-                LOG.error("Unrecoverable error, ending the process: task={}", name, e);
+                LOG.error("Unrecoverable error, ending the process: task={} error={} stack={}", name, e, stackOf(e));
             } finally {
                 halt.accept(Constants.Process.EXIT_ERROR);
             }
         }
         return false;
     }
+
+    /** Returns the innermost calls, and the cause with its own if there is one, on one line. */
+    static String stackOf(Throwable thrown) {
+        Throwable cause = thrown.getCause();
+        String calls = innermostCalls(thrown);
+        return cause == null ? calls : calls + " cause=" + cause + " stack=" + innermostCalls(cause);
+    }
+
+    private static String innermostCalls(Throwable thrown) {
+        return Arrays.stream(thrown.getStackTrace())
+                .limit(Constants.Logging.STACK_FRAMES_MAX)
+                .map(StackTraceElement::toString)
+                .collect(Collectors.joining(" < "));
+    }
 }
--- a/src/test/java/org/spoolline/net/ExceptionBoundaryTest.java
+++ b/src/test/java/org/spoolline/net/ExceptionBoundaryTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
@@ -23,6 +24,21 @@
         assertEquals(List.of(), exitCodes);
     }
 
+    /** A trace of a thousand lines is cut where logs are kept, and the line that names the error with it. */
+    @Test
+    void stackOfRecursionIsShort() {
+        StackOverflowError error = assertThrows(StackOverflowError.class, ExceptionBoundaryTest::recurse);
+        String stack = ExceptionBoundary.stackOf(new IllegalStateException("expected here", error));
+        assertEquals(1, stack.lines().count());
+        assertTrue(stack.contains("ExceptionBoundaryTest.recurse"), stack);
+        assertTrue(stack.contains("cause=java.lang.StackOverflowError"), stack);
+        assertTrue(stack.length() < 10_000, "characters: " + stack.length());
+    }
+
+    private static int recurse() {
+        return 1 + recurse();
+    }
+
     /**
      * A process that survives an error, such as a class that can't be loaded, may answer heartbeats as the leader
      * although all of its scheduling cycles fail.
