Answer malformed chunks, and clients that wait before they send the body

What callers saw: a request whose chunks are malformed or cut off, or whose transfer coding is unknown, or whose body ends early, had its connection closed without an answer, so a user repeats it for 60 s; a client that sends Expect: 100-continue and waits, which HTTP allows, was never asked for the body.

Cause: Undertow's reader of chunks closes the connection before the error reaches the caller, a body that ended early was handled likewise here, and the handler that answers 100 was not installed.

Change: Undertow's reader is created with nothing to close, gives what follows the body back to the connection, and RequestBody answers 400. Undertow's HttpContinueReadHandler runs before the handler.

--- a/src/main/java/org/spoolline/net/RequestBody.java
+++ b/src/main/java/org/spoolline/net/RequestBody.java
@@ -48,6 +48,11 @@
             fail(RequestFailure.BODY_TOO_LARGE);
             return;
         }
+        if (ChunkedBody.hasUnknownCoding(exchange)) {
+            fail(RequestFailure.BODY_MALFORMED);
+            return;
+        }
+        ChunkedBody.keepConnectionOnMalformedChunk(exchange);
         boolean isShort = length >= 0 && length < Constants.Network.READ_CHUNK_BYTES;
         received = ByteBuffer.allocate(isShort ? (int) length + 1 : Constants.Network.READ_CHUNK_BYTES);
         read(exchange.getRequestChannel());
--- a/src/main/java/org/spoolline/net/UndertowServer.java
+++ b/src/main/java/org/spoolline/net/UndertowServer.java
@@ -3,6 +3,7 @@
 import io.undertow.UndertowOptions;
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.server.HttpServerExchange;
+import io.undertow.server.handlers.HttpContinueReadHandler;
 import io.undertow.server.protocol.http.HttpOpenListener;
 import io.undertow.server.protocol.http.HttpServerConnection;
 import io.undertow.util.Headers;
@@ -71,7 +72,7 @@
      */
     public void listen(String address, int maxBodyBytes, Http.Handler handler) throws IOException {
         HttpOpenListener opener = new HttpOpenListener(buffers, httpOptions());
-        opener.setRootHandler(exchange -> receive(exchange, maxBodyBytes, handler));
+        opener.setRootHandler(new HttpContinueReadHandler(exchange -> receive(exchange, maxBodyBytes, handler)));
         OptionMap sockets = OptionMap.builder()
                 .set(Options.TCP_NODELAY, true)
                 .set(Options.REUSE_ADDRESSES, true)
