Reject heartbeats with an object or array in place of a scalar

What callers saw: nothing known; found while the malformed forms of each request were listed. A heartbeat with such a value was accepted with all that stood before it. If that was not the task list, the leader took the machine for empty and could start its tasks elsewhere.

Cause: the decoder did not skip the value; its end was taken for the end of the heartbeat. An object in place of the task list counted as an empty list, and what followed the heartbeat was not read.

Change: such values, a task list that is no array and content after the heartbeat make it malformed (400). The test stopsDecodingAtNonScalarValue and one line of decodesNumbersAsTextAndEmptyTaskLists asserted the fault; the new test covers every scalar field before and after the sound ones.

--- a/src/main/java/org/spoolline/worker/HeartbeatCodec.java
+++ b/src/main/java/org/spoolline/worker/HeartbeatCodec.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.Set;
 import org.spoolline.cluster.Heartbeat;
 import org.spoolline.cluster.TaskStatus;
 import org.spoolline.net.Json;
@@ -17,6 +18,11 @@
  * instance holds the fields that have been read of one heartbeat.
  */
 final class HeartbeatCodec {
+    /** Fields of a heartbeat and of its tasks whose value is no object or array. */
+    private static final Set<String> SCALAR_FIELDS = Set.of(
+            "spooler", "addr", "build", "yard", "standby", "shift", "tick", "baton", "recallS", "slip", "try", "status",
+            "cause", "kept");
+
     private final JsonParser parser;
     private String machine = "";
     private String address = "";
@@ -53,9 +59,8 @@
                 return Optional.empty();
             }
         }
-        boolean complete =
-                !machine.isEmpty() && incarnation >= 0 && number >= 0 && parser.currentToken() == JsonToken.END_OBJECT;
-        return complete
+        boolean complete = parser.currentToken() == JsonToken.END_OBJECT && parser.nextToken() == null;
+        return complete && !machine.isEmpty() && incarnation >= 0 && number >= 0
                 ? Optional.of(new Heartbeat(
                         machine, address, type, zone, spot, incarnation, number, token, interruptionNoticeS, tasks))
                 : Optional.empty();
@@ -63,6 +68,9 @@
 
     /** Reads the parser's current value as that of the field; false when the value makes the heartbeat malformed. */
     private boolean readField(String field, JsonToken value) throws IOException {
+        if (value == null || value.isStructStart() && SCALAR_FIELDS.contains(field)) {
+            return false;
+        }
         switch (field) {
             case "spooler" -> machine = parser.getValueAsString("");
             case "addr" -> address = parser.getValueAsString("");
@@ -83,14 +91,17 @@
         return true;
     }
 
-    /** Reads task objects up to the first token that does not start an object; false when one of them is malformed. */
+    /** Reads an array of task objects; false when it is not one, or when one of the tasks is malformed. */
     private boolean readTasks() throws IOException {
+        if (parser.currentToken() != JsonToken.START_ARRAY) {
+            return false;
+        }
         while (parser.nextToken() == JsonToken.START_OBJECT) {
             if (!readTask()) {
                 return false;
             }
         }
-        return true;
+        return parser.currentToken() == JsonToken.END_ARRAY;
     }
 
     private boolean readTask() throws IOException {
@@ -101,7 +112,10 @@
         boolean checkpointed = false;
         while (parser.nextToken() == JsonToken.FIELD_NAME) {
             String field = parser.currentName();
-            parser.nextToken();
+            JsonToken value = parser.nextToken();
+            if (value == null || value.isStructStart() && SCALAR_FIELDS.contains(field)) {
+                return false;
+            }
             switch (field) {
                 case "slip" -> taskId = parser.getValueAsString("");
                 case "try" -> attempt = parser.getValueAsLong();
@@ -113,7 +127,7 @@
         }
         int separator = taskId.lastIndexOf('/');
         Optional<TaskStatus.Phase> phase = phase(status);
-        if (separator < 0 || phase.isEmpty()) {
+        if (parser.currentToken() != JsonToken.END_OBJECT || separator < 0 || phase.isEmpty()) {
             return false;
         }
         String jobId = taskId.substring(0, separator);
--- a/src/test/java/org/spoolline/worker/HeartbeatCodecTest.java
+++ b/src/test/java/org/spoolline/worker/HeartbeatCodecTest.java
@@ -179,18 +179,28 @@
         }
     }
 
-    /**
-     * An object or array in place of a scalar ends the decoding. The heartbeat is accepted if all required fields
-     * precede it.
-     */
+    /** A heartbeat that is taken without its task list makes the leader start its tasks on other machines. */
     @Test
-    void stopsDecodingAtNonScalarValue() {
-        assertNull(decode("{\"addr\":{}," + MACHINE + "," + INCARNATION_NUMBER_TOKEN + "}"));
-        assertEquals(
-                "m-1",
-                decode("{" + MACHINE + "," + INCARNATION_NUMBER_TOKEN + ",\"recallS\":{}}")
-                        .machine());
-        assertNull(decode("{" + MACHINE + ",\"shift\":2,\"baton\":[],\"tick\":3}"));
+    void rejectsHeartbeatWithMalformedFieldWhereverItIs() {
+        String task = "{\"slip\":\"run-1/0\",\"try\":1,\"status\":\"running\"}";
+        String sound = MACHINE + "," + INCARNATION_NUMBER_TOKEN + ",\"slips\":[" + task + "]";
+        assertEquals(1, decode("{" + sound + "}").tasks().size());
+        for (String value : List.of("{}", "[]", "{\"a\":1}", "[1]", "[[]]")) {
+            for (String field :
+                    List.of("spooler", "addr", "build", "yard", "standby", "shift", "tick", "baton", "recallS")) {
+                String malformed = "\"" + field + "\":" + value;
+                assertNull(decode("{" + malformed + "," + sound + "}"), malformed);
+                assertNull(decode("{" + sound + "," + malformed + "}"), malformed);
+            }
+            for (String field : List.of("slip", "try", "status", "cause", "kept")) {
+                String malformed = "\"" + field + "\":" + value;
+                assertNull(withTask("{" + malformed + "," + task.substring(1)), malformed);
+                assertNull(withTask(task.substring(0, task.length() - 1) + "," + malformed + "}"), malformed);
+            }
+        }
+        for (String rest : List.of("}", "{", ",", " odd", "{" + sound + "}")) {
+            assertNull(decode("{" + sound + "}" + rest), rest);
+        }
     }
 
     @Test
@@ -201,10 +211,7 @@
                 List.of(),
                 decode("{" + MACHINE + "," + INCARNATION_NUMBER_TOKEN + ",\"slips\":[]}")
                         .tasks());
-        assertEquals(
-                List.of(),
-                decode("{" + MACHINE + "," + INCARNATION_NUMBER_TOKEN + ",\"slips\":{}}")
-                        .tasks());
+        assertNull(decode("{" + MACHINE + "," + INCARNATION_NUMBER_TOKEN + ",\"slips\":{}}"));
         assertNull(decode("{" + MACHINE + "," + INCARNATION_NUMBER_TOKEN + ",\"slips\":7}"));
         assertNull(decode("{" + MACHINE + ",\"slips\":null," + INCARNATION_NUMBER_TOKEN + "}"));
     }
