Accept every spelling of a submission that JSON allows, and only JSON

What callers saw: a submission with "slips": 2.0 or 2e0 got 400, which is not retried, though the same number as 2 is accepted. One followed by anything else, such as a second object, was accepted for its first value.

Cause: the number of tasks was checked by the type that the parser chose for its spelling; the tree was read up to the end of its first value. A name with an unpaired surrogate passed the checks, though it can't be stored as UTF-8.

Change: an integral number in any spelling is taken; a body has to be exactly one value; such a name is invalid. Answers of the state service and the cloud are read the same way.

--- a/src/main/java/org/spoolline/codec/TreeCodec.java
+++ b/src/main/java/org/spoolline/codec/TreeCodec.java
@@ -37,6 +37,20 @@
         }
     }
 
+    /**
+     * Reads the only value of the content, or a missing node when there is none; throws an IOException if anything but
+     * white space follows the value.
+     */
+    public JsonNode readOnly(byte[] content) throws IOException {
+        try (JsonParser in = format.createParser(content)) {
+            JsonNode value = readFirst(in);
+            if (in.nextToken() != null) {
+                throw new IOException("unexpected token " + in.currentToken() + ": expected the end of content");
+            }
+            return value;
+        }
+    }
+
     /** Encodes the tree; throws an IOException if it contains a missing or POJO node. */
     public byte[] write(JsonNode tree) throws IOException {
         try (ByteArrayBuilder bytes = new ByteArrayBuilder()) {
--- a/src/main/java/org/spoolline/net/Json.java
+++ b/src/main/java/org/spoolline/net/Json.java
@@ -37,10 +37,10 @@
         return JsonNodeFactory.instance.arrayNode();
     }
 
-    /** Parses the bytes into a tree; returns a missing node if they are not JSON. */
+    /** Parses the bytes into a tree; returns a missing node if they are not exactly one JSON value. */
     public static JsonNode read(byte[] bytes) {
         try {
-            return CODEC.read(bytes);
+            return CODEC.readOnly(bytes);
         } catch (IOException e) {
             return MissingNode.getInstance();
         }
--- a/src/main/java/org/spoolline/pipeline/FieldReader.java
+++ b/src/main/java/org/spoolline/pipeline/FieldReader.java
@@ -1,6 +1,7 @@
 package org.spoolline.pipeline;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import java.nio.charset.StandardCharsets;
 import org.spoolline.config.Constants;
 import org.spoolline.pipeline.SubmissionCodec.Malformed;
 
@@ -52,8 +53,10 @@
         return number;
     }
 
-    /** True if the value is a text of at least one character. */
+    /** True if the value is a text of at least one character that can be stored, so without unpaired surrogates. */
     static boolean isNonEmptyText(JsonNode value) {
-        return value.isTextual() && !value.asText().isEmpty();
+        return value.isTextual()
+                && !value.asText().isEmpty()
+                && StandardCharsets.UTF_8.newEncoder().canEncode(value.asText());
     }
 }
--- a/src/main/java/org/spoolline/pipeline/SubmissionCodec.java
+++ b/src/main/java/org/spoolline/pipeline/SubmissionCodec.java
@@ -184,14 +184,11 @@
     }
 
     private static int taskCount(FieldReader fields) throws Malformed {
-        JsonNode tasks = fields.value(TASKS);
-        if (!tasks.isIntegralNumber()
-                || !tasks.canConvertToInt()
-                || tasks.asInt() < 1
-                || tasks.asInt() > Constants.Job.MAX_TASKS) {
+        double tasks = fields.nonNegativeNumber(TASKS);
+        if (tasks != Math.rint(tasks) || tasks < 1 || tasks > Constants.Job.MAX_TASKS) {
             throw new Malformed(TASKS);
         }
-        return tasks.asInt();
+        return (int) tasks;
     }
 
     private static double cores(FieldReader fields) throws Malformed {
