Test late launches, late scale-out and scale-in, and machines back in a second

Why it holds: launches are sent in responses to heartbeats only, which workers drop after 4 s; the request for an early heartbeat carries no orders. A machine that nobody asked for is registered by its heartbeat or the machine list, and used or returned. A heartbeat proves nothing unless it shows the leader's token.

--- a/src/test/java/org/spoolline/simulation/FakeWorker.java
+++ b/src/test/java/org/spoolline/simulation/FakeWorker.java
@@ -26,7 +26,7 @@
     private final WorkerTasks tasks;
     private boolean down;
     private boolean hanging;
-    private long incarnation = 1;
+    private long incarnation;
     private long messageNumber;
     private long token;
     private long leaseRenewedAt;
@@ -41,7 +41,12 @@
 
     /** Creates a worker that has just booted and sends its first heartbeat to a random controller. */
     FakeWorker(Simulation simulation, String name, String type, String zone, boolean spot) {
+        this(simulation, name, type, zone, spot, 1);
+    }
+
+    private FakeWorker(Simulation simulation, String name, String type, String zone, boolean spot, long incarnation) {
         this.simulation = simulation;
+        this.incarnation = incarnation;
         this.name = name;
         this.type = type;
         this.zone = zone;
@@ -65,10 +70,19 @@
      * same name, unless the cloud has removed the machine meanwhile.
      */
     public void restartAfter(double seconds) {
+        restartAfter(seconds, 1);
+    }
+
+    /** As the other method, but the worker that starts counts on from the incarnation before. */
+    public void restartInNextIncarnationAfter(double seconds) {
+        restartAfter(seconds, incarnation + 1);
+    }
+
+    private void restartAfter(double seconds, long newIncarnation) {
         losePower();
         simulation.at((long) (seconds * 1000), () -> {
             if (simulation.cloud.hasMachine(name)) {
-                simulation.workers().put(name, new FakeWorker(simulation, name, type, zone, spot));
+                simulation.workers().put(name, new FakeWorker(simulation, name, type, zone, spot, newIncarnation));
             }
         });
     }
@@ -274,6 +288,7 @@
             return;
         }
         adoptTokenIfNewer(commandToken);
+        simulation.invariants.commandsReceived(name, body.path("orders"));
         body.path("orders").forEach(order -> tasks.execute(order, simulation.now()));
         reply.accept(Http.Response.of(200, new byte[0]));
     }
--- a/src/test/java/org/spoolline/simulation/InvariantChecker.java
+++ b/src/test/java/org/spoolline/simulation/InvariantChecker.java
@@ -1,5 +1,6 @@
 package org.spoolline.simulation;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -95,6 +96,18 @@
         }
     }
 
+    /**
+     * Records that a worker received commands outside of a heartbeat response. They may be delivered long after the
+     * controller has given up, so none of them may launch a task.
+     */
+    void commandsReceived(String machine, JsonNode orders) {
+        for (JsonNode order : orders) {
+            if (order.path("verb").asText().equals("launch")) {
+                addViolation("late_launch", order.path("slip").asText() + " launched on " + machine + " by a command");
+            }
+        }
+    }
+
     /** Records that an attempt has fetched its image and starts. */
     void taskStarted(SimulatedTask task) {
         starts++;
