Keep no long field names of requests in the JSON parser's table

What callers saw: nothing yet; found while the other ways of the incident's class were looked for. A few hundred submissions, each refused with 400, end a controller: each has an unknown field with a name of its own of 45,000 characters.

Cause: Jackson keeps the names of fields, up to 6,000 of any length, for the bodies that it reads later. The sender decides on the names, so on the heap.

Evidence: FieldNamesMemoryTest sends 4,000 of them to a process with the deploy file's options.

Change: the parser that keeps names takes those of up to 64 characters, so 6,000 take under 1 MiB. A body with a longer one is read again by a parser that keeps nothing. Messages between controllers are read by such a parser.

Why it works: what is kept is bounded by two constants, whatever is sent.

--- a/src/main/java/org/spoolline/net/FormatLimits.java
+++ b/src/main/java/org/spoolline/net/FormatLimits.java
@@ -11,26 +11,38 @@
  * no default of the library rejects a valid body because of fields that have to be ignored.
  */
 public final class FormatLimits {
-    private static final StreamReadConstraints READ = StreamReadConstraints.builder()
-            .maxNestingDepth(NetworkConstants.MAX_NESTING_DEPTH)
-            .maxNameLength(NetworkConstants.MAX_TOKEN_CHARS)
-            .maxNumberLength(NetworkConstants.MAX_TOKEN_CHARS)
-            .maxStringLength(NetworkConstants.MAX_RESPONSE_BYTES)
-            .build();
-    private static final StreamWriteConstraints WRITE = StreamWriteConstraints.builder()
-            .maxNestingDepth(NetworkConstants.MAX_NESTING_DEPTH)
-            .build();
-
     private FormatLimits() {}
 
     /**
-     * Applies the limits. Field names are not interned, since senders choose them, and names with equal hashes are read
-     * more slowly instead of being rejected.
+     * Applies the limits to a format that keeps the names of fields for the bodies that it reads later. It throws a
+     * StreamConstraintsException for a name that is too long to be kept. Names with equal hashes are read more slowly.
      */
-    public static <B extends TSFBuilder<?, B>> B apply(B format) {
-        return format.streamReadConstraints(READ)
-                .streamWriteConstraints(WRITE)
-                .disable(JsonFactory.Feature.INTERN_FIELD_NAMES)
+    static <B extends TSFBuilder<?, B>> B keepingNames(B format) {
+        return format.streamReadConstraints(readConstraints(NetworkConstants.MAX_KEPT_NAME_CHARS))
+                .streamWriteConstraints(writeConstraints())
                 .disable(JsonFactory.Feature.FAIL_ON_SYMBOL_HASH_OVERFLOW);
     }
+
+    /** Applies the limits to a format that keeps nothing of what it has read. */
+    public static <B extends TSFBuilder<?, B>> B keepingNothing(B format) {
+        return format.streamReadConstraints(readConstraints(NetworkConstants.MAX_TOKEN_CHARS))
+                .streamWriteConstraints(writeConstraints())
+                .disable(JsonFactory.Feature.CANONICALIZE_FIELD_NAMES)
+                .disable(JsonFactory.Feature.INTERN_FIELD_NAMES);
+    }
+
+    private static StreamReadConstraints readConstraints(int maxNameChars) {
+        return StreamReadConstraints.builder()
+                .maxNestingDepth(NetworkConstants.MAX_NESTING_DEPTH)
+                .maxNameLength(maxNameChars)
+                .maxNumberLength(NetworkConstants.MAX_TOKEN_CHARS)
+                .maxStringLength(NetworkConstants.MAX_RESPONSE_BYTES)
+                .build();
+    }
+
+    private static StreamWriteConstraints writeConstraints() {
+        return StreamWriteConstraints.builder()
+                .maxNestingDepth(NetworkConstants.MAX_NESTING_DEPTH)
+                .build();
+    }
 }
--- a/src/main/java/org/spoolline/peer/Cbor.java
+++ b/src/main/java/org/spoolline/peer/Cbor.java
@@ -13,7 +13,7 @@
 /** Reads and writes CBOR trees, the encoding of all messages between controllers. */
 final class Cbor {
     private static final TreeCodec CODEC =
-            new TreeCodec(FormatLimits.apply(CBORFactory.builder()).build());
+            new TreeCodec(FormatLimits.keepingNothing(CBORFactory.builder()).build());
 
     private Cbor() {}
 
--- a/src/main/java/org/spoolline/worker/HeartbeatCodec.java
+++ b/src/main/java/org/spoolline/worker/HeartbeatCodec.java
@@ -44,13 +44,17 @@
      * skipped.
      */
     static Optional<Heartbeat> decode(byte[] body) {
-        try (JsonParser parser = Json.parser(body)) {
-            return parser.nextToken() == JsonToken.START_OBJECT ? new HeartbeatCodec(parser).read() : Optional.empty();
+        try {
+            return Json.parseWith(HeartbeatCodec::decode, body);
         } catch (IOException | NumberFormatException e) {
             return Optional.empty();
         }
     }
 
+    private static Optional<Heartbeat> decode(JsonParser parser) throws IOException {
+        return parser.nextToken() == JsonToken.START_OBJECT ? new HeartbeatCodec(parser).read() : Optional.empty();
+    }
+
     private Optional<Heartbeat> read() throws IOException {
         while (parser.nextToken() == JsonToken.FIELD_NAME) {
             String field = parser.currentName();
