--- a/src/main/java/org/spoolline/codec/TreeReader.java
+++ b/src/main/java/org/spoolline/codec/TreeReader.java
@@ -22,12 +22,13 @@
      */
     static final int MAX_EXACT_DIGITS = 40;
 
+    private static final int INITIAL_DEPTH = 4;
     private static final JsonNodeFactory NODES = JsonNodeFactory.instance;
 
     private final JsonParser in;
     private final boolean isText;
     /** The objects and arrays that contain the parser's position, innermost first. */
-    private final Deque<JsonNode> open = new ArrayDeque<>();
+    private final Deque<JsonNode> open = new ArrayDeque<>(INITIAL_DEPTH);
 
     /** Creates a reader; {@code isText} is true if the format writes numbers as digits. */
     TreeReader(JsonParser in, boolean isText) {
@@ -37,35 +38,50 @@
 
     /** Reads the value that starts at the parser's current token, and leaves the parser at its last token. */
     JsonNode read() throws IOException {
-        JsonNode value = startValue();
+        JsonNode value = readStart(in.currentToken());
         while (!open.isEmpty()) {
-            JsonToken token = in.nextToken();
-            if (token == JsonToken.END_OBJECT || token == JsonToken.END_ARRAY) {
-                open.pop();
-            } else if (open.peek() instanceof ObjectNode object) {
-                readField(object);
+            if (open.peek() instanceof ObjectNode object) {
+                readFields(object);
             } else if (open.peek() instanceof ArrayNode array) {
-                array.add(startValue());
+                readElements(array);
             }
         }
         return value;
     }
 
-    private void readField(ObjectNode object) throws IOException {
-        if (in.currentToken() != JsonToken.FIELD_NAME) {
+    /** Reads fields up to the end of the object, or up to one whose value is an object or array, which is open then. */
+    private void readFields(ObjectNode object) throws IOException {
+        while (in.nextToken() == JsonToken.FIELD_NAME) {
+            String field = in.currentName();
+            JsonToken token = in.nextToken();
+            object.set(field, readStart(token));
+            if (token.isStructStart()) {
+                return;
+            }
+        }
+        if (in.currentToken() != JsonToken.END_OBJECT) {
             throw new EOFException("unexpected end of content: expected a field name or the end of an object");
         }
-        String field = in.currentName();
-        in.nextToken();
-        object.set(field, startValue());
+        open.pop();
+    }
+
+    /** Reads elements up to the end of the array, or up to one that is an object or array, which is open then. */
+    private void readElements(ArrayNode array) throws IOException {
+        for (JsonToken token = in.nextToken(); token != JsonToken.END_ARRAY; token = in.nextToken()) {
+            array.add(readStart(token));
+            if (token.isStructStart()) {
+                return;
+            }
+        }
+        open.pop();
     }
 
-    /** Returns the value that starts at the current token. An object or array is returned empty, and is open then. */
-    private JsonNode startValue() throws IOException {
-        if (in.currentToken() == null) {
+    /** Returns the value that starts with the token. An object or array is returned empty, and is open then. */
+    private JsonNode readStart(JsonToken token) throws IOException {
+        if (token == null) {
             throw new EOFException("unexpected end of content: expected a value");
         }
-        return switch (in.currentToken()) {
+        return switch (token) {
             case START_OBJECT -> open(NODES.objectNode());
             case START_ARRAY -> open(NODES.arrayNode());
             case VALUE_STRING -> NODES.textNode(in.getText());
@@ -75,7 +91,7 @@
             case VALUE_FALSE -> NODES.booleanNode(false);
             case VALUE_NULL -> NODES.nullNode();
             case VALUE_EMBEDDED_OBJECT -> NODES.binaryNode(in.getBinaryValue());
-            default -> throw new IOException("unexpected token " + in.currentToken() + ": expected a value");
+            default -> throw new IOException("unexpected token " + token + ": expected a value");
         };
     }
 
--- a/src/main/java/org/spoolline/pipeline/FieldReader.java
+++ b/src/main/java/org/spoolline/pipeline/FieldReader.java
@@ -22,11 +22,11 @@
 
     /** Reads a text of at least one character and at most {@link Constants.Job#MAX_NAME}. */
     String text(String field) throws Malformed {
-        JsonNode value = value(field);
-        if (!isNonEmptyText(value) || value.asText().length() > Constants.Job.MAX_NAME) {
+        String text = value(field).textValue();
+        if (text == null || text.isEmpty() || text.length() > Constants.Job.MAX_NAME) {
             throw new Malformed(field);
         }
-        return value.asText();
+        return text;
     }
 
     /** Reads a text and returns the enum constant that has it as its wire name. */
@@ -45,8 +45,8 @@
     /** Reads a finite number of 0 or more. */
     double nonNegativeNumber(String field) throws Malformed {
         JsonNode value = value(field);
-        double number = value.asDouble(-1);
-        if (!value.isNumber() || !(number >= 0) || Double.isInfinite(number)) {
+        double number = value.isNumber() ? value.doubleValue() : -1;
+        if (!(number >= 0 && number <= Double.MAX_VALUE)) {
             throw new Malformed(field);
         }
         return number;
--- a/src/main/java/org/spoolline/pipeline/SubmissionCodec.java
+++ b/src/main/java/org/spoolline/pipeline/SubmissionCodec.java
@@ -8,7 +8,6 @@
 import java.util.Map;
 import java.util.OptionalDouble;
 import java.util.Set;
-import java.util.regex.Pattern;
 import org.spoolline.config.Constants;
 import org.spoolline.net.Json;
 import org.spoolline.pipeline.Submission.Priority;
@@ -52,7 +51,8 @@
                     "standard", Priority.STANDARD,
                     "best_effort", Priority.BEST_EFFORT));
 
-    private static final Pattern JOB_ID_FORM = Pattern.compile("run-[0-9]{1,30}");
+    private static final String JOB_ID_PREFIX = "run-";
+    private static final int JOB_ID_DIGITS_MAX = 30;
 
     /** Thrown for a malformed submission. The message is for the user and names the field. Has no stack trace. */
     public static final class Malformed extends Exception {
@@ -77,7 +77,17 @@
 
     /** True if the text has the form of a job id, whether or not the job exists. */
     public static boolean isValidJobId(String jobId) {
-        return JOB_ID_FORM.matcher(jobId).matches();
+        int digits = jobId.length() - JOB_ID_PREFIX.length();
+        if (digits < 1 || digits > JOB_ID_DIGITS_MAX || !jobId.startsWith(JOB_ID_PREFIX)) {
+            return false;
+        }
+        for (int i = JOB_ID_PREFIX.length(); i < jobId.length(); i++) {
+            char digit = jobId.charAt(i);
+            if (digit < '0' || digit > '9') {
+                return false;
+            }
+        }
+        return true;
     }
 
     /**
@@ -184,11 +194,12 @@
     }
 
     private static int taskCount(FieldReader fields) throws Malformed {
-        double tasks = fields.nonNegativeNumber(TASKS);
-        if (tasks != Math.rint(tasks) || tasks < 1 || tasks > Constants.Job.MAX_TASKS) {
+        double number = fields.value(TASKS).isNumber() ? fields.value(TASKS).doubleValue() : 0;
+        int tasks = (int) number;
+        if (tasks != number || tasks < 1 || tasks > Constants.Job.MAX_TASKS) {
             throw new Malformed(TASKS);
         }
-        return (int) tasks;
+        return tasks;
     }
 
     private static double cores(FieldReader fields) throws Malformed {
