Reject stored flows that are nested too deep

Flows of jobs have 4 levels; beyond 32 the value counts as unreadable, which affects only its job. PipelineTest has flows of 20,000 levels (before, a StackOverflowError or, with the parser's default, an empty tree).

--- a/src/main/java/org/spoolline/config/Constants.java
+++ b/src/main/java/org/spoolline/config/Constants.java
@@ -243,6 +243,8 @@
         public static final int HASH_SPREAD = 0x9E3779B1;
         /** Initial capacity of a job's attempt table: most jobs are small. */
         public static final int INITIAL_ATTEMPTS = 8;
+        /** Maximum depth of a stored flow or continuation stack; those of jobs have 4. */
+        public static final int MAX_FLOW_DEPTH = 32;
         /** Version of the stored pipeline value, by which later versions can recognize and convert it. */
         public static final int PIPELINE_VERSION = 2;
         /** Previous version, which is still read: its attempts take three times the space. */
--- a/src/main/java/org/spoolline/pipeline/ContinuationStackCodec.java
+++ b/src/main/java/org/spoolline/pipeline/ContinuationStackCodec.java
@@ -7,6 +7,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import org.spoolline.config.Constants;
 import org.spoolline.net.Json;
 
 /**
@@ -62,7 +63,7 @@
         List<CekkMachine.Branch> branches = new ArrayList<>();
         for (JsonNode branch : node.path(BRANCHES)) {
             branches.add(new CekkMachine.Branch(
-                    decodeFlow(branch.get(0)), decodeStack(branch.get(1)), decodeStack(branch.get(2))));
+                    decodeFlow(branch.get(0), 0), decodeStack(branch.get(1), 0), decodeStack(branch.get(2), 0)));
         }
         Map<String, CekkMachine.Status> statuses = new LinkedHashMap<>();
         node.path(STATUSES)
@@ -92,8 +93,8 @@
         return frames;
     }
 
-    private static ContinuationStack decodeStack(JsonNode frames) {
-        return new ContinuationStack(decodeFlows(frames, 0));
+    private static ContinuationStack decodeStack(JsonNode frames, int depth) {
+        return new ContinuationStack(decodeFlows(frames, 0, depth));
     }
 
     private static ArrayNode encodeFlow(Flow flow) {
@@ -120,17 +121,21 @@
         return node;
     }
 
-    private static Flow decodeFlow(JsonNode node) {
+    /** Decodes a flow at a depth of nesting, which is bounded: a damaged value must not overflow the stack. */
+    private static Flow decodeFlow(JsonNode node, int depth) {
+        if (depth > Constants.Job.MAX_FLOW_DEPTH) {
+            throw new IllegalArgumentException("flow is nested deeper than " + Constants.Job.MAX_FLOW_DEPTH);
+        }
         return switch (node.get(0).asText()) {
             case ACTIVITY -> new Flow.Activity(node.get(1).asText());
-            case SEQ -> new Flow.Seq(decodeFlows(node, 1));
-            case OR -> new Flow.Or(decodeFlows(node, 1));
-            case FORK -> new Flow.Fork(node.get(1).asText(), decodeFlows(node, 2));
+            case SEQ -> new Flow.Seq(decodeFlows(node, 1, depth + 1));
+            case OR -> new Flow.Or(decodeFlows(node, 1, depth + 1));
+            case FORK -> new Flow.Fork(node.get(1).asText(), decodeFlows(node, 2, depth + 1));
             case JOIN -> new Flow.Join(node.get(1).asText(), node.get(2).asInt());
             case OR_CLOSURE -> new Flow.OrClosure(
-                    (Flow.Or) decodeFlow(node.get(1)),
-                    decodeStack(node.get(2)),
-                    decodeStack(node.get(3)),
+                    (Flow.Or) decodeFlow(node.get(1), depth + 1),
+                    decodeStack(node.get(2), depth + 1),
+                    decodeStack(node.get(3), depth + 1),
                     node.get(4).asBoolean());
             default -> Flow.EMPTY;
         };
@@ -143,10 +148,10 @@
     }
 
     /** Decodes the flows in an array, from the given index on. */
-    private static List<Flow> decodeFlows(JsonNode node, int firstIndex) {
+    private static List<Flow> decodeFlows(JsonNode node, int firstIndex, int depth) {
         List<Flow> flows = new ArrayList<>();
         for (int i = firstIndex; i < node.size(); i++) {
-            flows.add(decodeFlow(node.get(i)));
+            flows.add(decodeFlow(node.get(i), depth));
         }
         return List.copyOf(flows);
     }
--- a/src/test/java/org/spoolline/pipeline/PipelineTest.java
+++ b/src/test/java/org/spoolline/pipeline/PipelineTest.java
@@ -1,5 +1,6 @@
 package org.spoolline.pipeline;
 
+import static java.nio.charset.StandardCharsets.UTF_8;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertThrows;
@@ -50,6 +51,22 @@
         return Pipeline.decode(Json.read(Json.bytes(pipeline.encode())));
     }
 
+    /** A recursion over a damaged stored value would end every controller that reads it. */
+    @Test
+    void rejectsStoredFlowThatIsNestedTooDeep() throws Exception {
+        int levels = 20_000;
+        for (String opening : List.of("[\"s\",", "[\"o\",", "[\"k\",\"j\",")) {
+            ObjectNode value = Json.object();
+            String flow = opening.repeat(levels) + "[\"e\"]" + "]".repeat(levels);
+            value.putArray("b")
+                    .addArray()
+                    .add(Json.read(flow.getBytes(UTF_8)))
+                    .add(Json.array())
+                    .add(Json.array());
+            assertThrows(IllegalArgumentException.class, () -> ContinuationStackCodec.decode(value));
+        }
+    }
+
     @Test
     void lastCompletedTaskMakesPipelineSucceed() throws Exception {
         Pipeline pipeline = pipeline(3);
