Read responses of at most 4 MiB, and list the jobs if a watch has more

A response was read whatever its size, so the state service or the cloud decided on the heap of a controller; a watch may return any number of changes.

Change: a call ends with TOO_LARGE above 4 MiB and closes its connection. For a watch that counts as compacted history, so the leader lists the jobs in pages instead of asking for the same response for ever; other callers take it for no answer.

--- a/src/main/java/org/spoolline/kvstore/KeyValueStoreCodec.java
+++ b/src/main/java/org/spoolline/kvstore/KeyValueStoreCodec.java
@@ -118,10 +118,13 @@
                 values, body.path(REVISION).asLong(), !body.path("hasNext").asBoolean());
     }
 
-    /** Decodes the response to a watch for changes after the given revision. */
+    /**
+     * Decodes the response to a watch for changes after the given revision. Changes that are too many for a response
+     * have to be read with a listing, like those that the store has compacted.
+     */
     static WatchResult decodeWatch(long afterRevision, Http.Reply reply) {
         if (!reply.ok()) {
-            return reply.status() == COMPACTED
+            return reply.status() == COMPACTED || reply == Http.Reply.TOO_LARGE
                     ? WatchResult.compactedSince(afterRevision)
                     : WatchResult.noAnswer(afterRevision);
         }
--- a/src/main/java/org/spoolline/net/Http.java
+++ b/src/main/java/org/spoolline/net/Http.java
@@ -1,6 +1,7 @@
 package org.spoolline.net;
 
 import java.util.function.Consumer;
+import org.spoolline.config.NetworkConstants;
 
 /** HTTP requests and responses without types of an HTTP library, so that tests can replace the network. */
 public final class Http {
@@ -37,6 +38,8 @@
     public record Reply(int status, byte[] body) {
         /** Outcome of a call that timed out or whose connection failed. */
         public static final Reply NONE = new Reply(0, new byte[0]);
+        /** Outcome of a call whose response exceeds {@link NetworkConstants#MAX_RESPONSE_BYTES} and was not read. */
+        public static final Reply TOO_LARGE = new Reply(-1, new byte[0]);
 
         /** Returns true for status 200: the target has processed the request. */
         public boolean ok() {
--- a/src/main/java/org/spoolline/net/UndertowCall.java
+++ b/src/main/java/org/spoolline/net/UndertowCall.java
@@ -131,6 +131,10 @@
                     return;
                 }
                 received.write(chunk.array(), 0, count);
+                if (received.size() > NetworkConstants.MAX_RESPONSE_BYTES) {
+                    end(Http.Reply.TOO_LARGE);
+                    return;
+                }
             }
         } catch (IOException e) {
             fail();
@@ -156,13 +160,18 @@
     }
 
     private void fail() {
+        end(Http.Reply.NONE);
+    }
+
+    /** Ends the call without a complete response and closes its connection. */
+    private void end(Http.Reply outcome) {
         if (ended) {
             return;
         }
         ended = true;
         timeout.cancel();
         IoUtils.safeClose(connection);
-        caller.deliver(Http.Reply.NONE, onReply);
+        caller.deliver(outcome, onReply);
     }
 
     /** Callback of an asynchronous Undertow operation: passes its result to the next step, or fails the call. */
--- a/src/test/java/org/spoolline/cli/RunningNode.java
+++ b/src/test/java/org/spoolline/cli/RunningNode.java
@@ -106,13 +106,15 @@
         responder.accept(Http.Response.of(body.isPresent() ? 200 : 404, bytes));
     }
 
-    private static InetSocketAddress freeAddress() throws IOException {
+    /** Returns a loopback address at which nothing listens. */
+    static InetSocketAddress freeAddress() throws IOException {
         try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
             return (InetSocketAddress) socket.getLocalSocketAddress();
         }
     }
 
-    private static String text(InetSocketAddress address) {
+    /** Returns the address as host:port. */
+    static String text(InetSocketAddress address) {
         return address.getHostString() + ":" + address.getPort();
     }
 
--- a/src/test/java/org/spoolline/kvstore/KeyValueStoreCodecTest.java
+++ b/src/test/java/org/spoolline/kvstore/KeyValueStoreCodecTest.java
@@ -49,6 +49,16 @@
         assertEquals(CommitOutcome.UNKNOWN, outcome(0, ""));
     }
 
+    /** Otherwise a leader whose watch response is too large requests the same response for ever. */
+    @Test
+    void watchResponseThatIsTooLargeRequiresListing() {
+        assertTrue(KeyValueStoreCodec.decodeWatch(7, Http.Reply.TOO_LARGE).compacted());
+        assertFalse(KeyValueStoreCodec.decodeRead("k", Http.Reply.TOO_LARGE).answered());
+        assertEquals(
+                CommitOutcome.UNKNOWN,
+                KeyValueStoreCodec.decodeCommit(Http.Reply.TOO_LARGE).outcome());
+    }
+
     private static CommitOutcome outcome(int status, String body) {
         return KeyValueStoreCodec.decodeCommit(reply(status, body)).outcome();
     }
