Bound forwarded requests, and keep the statuses of configured peers only

A user's request that is forwarded takes a socket of this node for up to 1.5 s, without a bound below the quota; a status message was kept for any name that it gave, and its token was taken.

Change: a twenty-fifth of the sockets may be used for forwarded requests; above that the request is handled here, which answers 503 while the store is out of reach. No test of its own for either bound.

--- a/src/main/java/org/spoolline/config/NetworkConstants.java
+++ b/src/main/java/org/spoolline/config/NetworkConstants.java
@@ -47,6 +47,10 @@
     public static final int SOCKETS_PER_IDLE_CONNECTION = 10;
     /** Idle connections kept open under any quota: to the key-value store, the cloud and the peers. */
     public static final int IDLE_CONNECTIONS_MIN = 16;
+    /** Sockets in the process quota for each user's request that is being forwarded to a peer. */
+    public static final int SOCKETS_PER_FORWARDED_REQUEST = 25;
+    /** Users' requests that may be forwarded at the same time under any quota. */
+    public static final int FORWARDED_REQUESTS_MIN = 4;
     /** Maximum extension in ms of a timeout that fires late, to read a response that arrived in time. */
     public static final long LATE_GRACE_MS = 2_000;
     /** Attempts to bind an address that a terminated process may still hold. */
--- a/src/main/java/org/spoolline/config/Settings.java
+++ b/src/main/java/org/spoolline/config/Settings.java
@@ -204,6 +204,13 @@
                 NetworkConstants.IDLE_CONNECTIONS_MIN, quota.sockets() / NetworkConstants.SOCKETS_PER_IDLE_CONNECTION);
     }
 
+    /** Maximum number of users' requests that are forwarded to peers at the same time: each occupies a socket. */
+    public int maxForwardedRequests() {
+        return Math.max(
+                NetworkConstants.FORWARDED_REQUESTS_MIN,
+                quota.sockets() / NetworkConstants.SOCKETS_PER_FORWARDED_REQUEST);
+    }
+
     /** Maximum number of open inbound connections. */
     public int maxInboundConnections() {
         return Math.max(
--- a/src/main/java/org/spoolline/peer/PeerService.java
+++ b/src/main/java/org/spoolline/peer/PeerService.java
@@ -55,6 +55,7 @@
     private final LeaderElection election;
     private final LocalNode localNode;
     private final Map<String, ReceivedStatus> statusByNode = new HashMap<>();
+    private int forwardsInFlight;
 
     /** Creates a service, which sends no message before {@link #start}. */
     public PeerService(
@@ -145,20 +146,24 @@
     }
 
     /**
-     * Forwards a user's request to a peer that reaches the key-value store.
+     * Forwards a user's request to a peer that reaches the key-value store. The requests in flight are bounded, since
+     * each occupies a socket.
      *
-     * @return false if no peer is known to reach the store; {@code responder} is then not called
+     * @return false if no peer is known to reach the store or too many requests are in flight; {@code responder} is
+     *     then not called
      */
     public boolean forward(Http.Request request, Consumer<Http.Response> responder) {
+        if (forwardsInFlight >= settings.maxForwardedRequests()) {
+            return false;
+        }
         for (Settings.Peer peer : settings.peers()) {
             ReceivedStatus received = statusByNode.get(peer.node());
             if (received != null && reachesStore(received)) {
-                send(
-                        peer,
-                        FORWARD_PATH,
-                        PeerCodec.encode(request),
-                        Constants.Peer.PEER_TIMEOUT_MS,
-                        reply -> responder.accept(forwardedResponse(reply)));
+                forwardsInFlight++;
+                send(peer, FORWARD_PATH, PeerCodec.encode(request), Constants.Peer.PEER_TIMEOUT_MS, reply -> {
+                    forwardsInFlight--;
+                    responder.accept(forwardedResponse(reply));
+                });
                 return true;
             }
         }
@@ -191,12 +196,16 @@
     }
 
     private void recordStatus(byte[] message) {
-        PeerCodec.decodeStatus(message).ifPresent(status -> {
+        PeerCodec.decodeStatus(message).filter(this::isFromPeer).ifPresent(status -> {
             statusByNode.put(status.node(), new ReceivedStatus(status, loop.now()));
             election.observeToken(status.token());
         });
     }
 
+    private boolean isFromPeer(PeerStatus status) {
+        return settings.peers().stream().anyMatch(peer -> peer.node().equals(status.node()));
+    }
+
     private void send(Settings.Peer peer, String path, byte[] message, long timeoutMs, Consumer<Http.Reply> onReply) {
         http.call(peer.address(), "POST", path, message, timeoutMs, onReply);
     }
