Release the buffers of bodies that were given up

Cause: found by the long run of UnfinishedRequestsTest at 2,500 sockets, where the process ended for exhausted memory: bodies that UnfinishedBodies had given up kept their buffers until their connections were closed a second later, and a buffer grew to 128 KiB for a body of at most 64 KiB.

Change: the buffer is released when the body ends, and grows to a byte more than is allowed.

--- a/src/main/java/org/spoolline/net/RequestBody.java
+++ b/src/main/java/org/spoolline/net/RequestBody.java
@@ -25,6 +25,8 @@
         void failed(RequestFailure failure);
     }
 
+    private static final ByteBuffer NO_BUFFER = ByteBuffer.allocate(0);
+
     private final HttpServerExchange exchange;
     private final int maxBytes;
     private final UnfinishedBodies unfinished;
@@ -82,13 +84,13 @@
         }
     }
 
-    /** Doubles the buffer; returns false if the body is too large, or had to be given up for the memory it takes. */
+    /** Doubles the buffer, up to a byte more than is allowed; returns false if the body is too large, or had to be given up for the memory it takes. */
     private boolean grow() {
         if (received.position() > maxBytes) {
             fail(RequestFailure.BODY_TOO_LARGE);
             return false;
         }
-        int addedBytes = received.capacity();
+        int addedBytes = Math.min(received.capacity(), maxBytes + 1 - received.capacity());
         received = ByteBuffer.allocate(received.capacity() + addedBytes).put(received.flip());
         if (timeout != null) {
             unfinished.grow(this, addedBytes);
@@ -132,6 +134,8 @@
             timeout.remove();
             unfinished.remove(this);
         }
+        // The connection refers to this object until it is closed.
+        received = NO_BUFFER;
         result.accept(receiver);
     }
 }
