Bound the heap of unfinished heads by the number of connections

Cause: found by the long run of UnfinishedRequestsTest at 9,000 sockets, as for 4,000 machines: 7,200 unfinished heads of 7 KiB take some 95 MB, so the collector of a heap of 128 MB runs all the time; a health check took 3.2 s and more, and in one run there was none within 10 s.

Change: all unfinished heads together may have 16 MiB, which leaves each 8 KiB up to 2,560 sockets, as before, and 2.3 KiB at 9,000. The limits of the server are a record of their own.

--- a/src/main/java/org/spoolline/cli/ProcessNetwork.java
+++ b/src/main/java/org/spoolline/cli/ProcessNetwork.java
@@ -6,6 +6,7 @@
 import org.spoolline.config.Settings;
 import org.spoolline.net.EventLoop;
 import org.spoolline.net.ExceptionBoundary;
+import org.spoolline.net.ServerLimits;
 import org.spoolline.net.UndertowCaller;
 import org.spoolline.net.UndertowServer;
 import org.spoolline.net.XnioEventLoop;
@@ -46,9 +47,11 @@
                 .halt(ProcessExit.report(exitCode, "unrecoverable error, named in the line before")));
         DefaultByteBufferPool buffers =
                 new DefaultByteBufferPool(false, NetworkConstants.BUFFER_BYTES, NetworkConstants.BUFFER_POOL_SIZE, 0);
+        ServerLimits limits =
+                new ServerLimits(settings.backlog(), settings.maxInboundConnections(), settings.maxHeadBytes());
         return new ProcessNetwork(
                 new XnioEventLoop(thread, boundary),
                 new UndertowCaller(thread, buffers, settings.idleConnections(), boundary),
-                new UndertowServer(worker, buffers, settings.backlog(), settings.maxInboundConnections(), boundary));
+                new UndertowServer(worker, buffers, limits, boundary));
     }
 }
--- a/src/main/java/org/spoolline/config/NetworkConstants.java
+++ b/src/main/java/org/spoolline/config/NetworkConstants.java
@@ -30,8 +30,10 @@
     public static final int RESPONSE_TIMEOUT_MS = 5_000;
     /** Maximum size of a request's head in bytes. Each open connection may hold an unfinished one. */
     public static final int MAX_HEAD_BYTES = 8 * 1024;
-    /** Maximum number of headers of a request: each takes about 200 bytes of heap. */
-    public static final int MAX_HEADERS = 64;
+    /** Maximum bytes of all unfinished heads together; in the heap they take twice as much. */
+    public static final int MAX_UNFINISHED_HEADS_BYTES = 16 * 1024 * 1024;
+    /** Bytes of the maximum size of a head for each header that it may have: a header takes about 200 of heap. */
+    public static final int HEAD_BYTES_PER_HEADER = 128;
     /** Maximum number of query parameters of a request: the protocols for users and workers have none. */
     public static final int MAX_QUERY_PARAMETERS = 32;
     /** Maximum size of a request body from another controller: a user's request with its method and path. */
--- a/src/main/java/org/spoolline/config/Settings.java
+++ b/src/main/java/org/spoolline/config/Settings.java
@@ -217,6 +217,12 @@
                 NetworkConstants.IDLE_CONNECTIONS_MIN, (int) (quota.sockets() * NetworkConstants.INBOUND_SOCKET_SHARE));
     }
 
+    /** Maximum size in bytes of a request's head: less with many connections, since each may hold an unfinished one. */
+    public int maxHeadBytes() {
+        return Math.min(
+                NetworkConstants.MAX_HEAD_BYTES, NetworkConstants.MAX_UNFINISHED_HEADS_BYTES / maxInboundConnections());
+    }
+
     /** Maximum number of early-heartbeat requests in flight: each occupies a socket until its response or timeout. */
     public int maxEarlyHeartbeatRequests() {
         return Math.max(
--- a/src/main/java/org/spoolline/net/UndertowServer.java
+++ b/src/main/java/org/spoolline/net/UndertowServer.java
@@ -33,27 +33,20 @@
 
     private final XnioWorker worker;
     private final ByteBufferPool buffers;
-    private final int backlog;
+    private final ServerLimits limits;
     private final ExceptionBoundary boundary;
     private final InboundConnections connections;
     private final UnfinishedBodies unfinishedBodies =
             new UnfinishedBodies(NetworkConstants.MAX_UNFINISHED_BODIES_BYTES);
     private RequestFailure.Listener failureListener = failure -> {};
 
-    /**
-     * Creates a server that does not listen yet.
-     *
-     * @param backlog maximum number of connections that wait to be accepted, which must cover the workers that
-     *     reconnect to this node at once after another node has ended
-     * @param maxConnections maximum number of open connections on all addresses
-     */
-    public UndertowServer(
-            XnioWorker worker, ByteBufferPool buffers, int backlog, int maxConnections, ExceptionBoundary boundary) {
+    /** Creates a server that does not listen yet. */
+    public UndertowServer(XnioWorker worker, ByteBufferPool buffers, ServerLimits limits, ExceptionBoundary boundary) {
         this.worker = worker;
         this.buffers = buffers;
-        this.backlog = backlog;
+        this.limits = limits;
         this.boundary = boundary;
-        this.connections = new InboundConnections(maxConnections, this::notifyListener);
+        this.connections = new InboundConnections(limits.connections(), this::notifyListener);
     }
 
     /** Sets the receiver of the requests and connections that the server ends itself. */
@@ -77,7 +70,7 @@
         OptionMap sockets = OptionMap.builder()
                 .set(Options.TCP_NODELAY, true)
                 .set(Options.REUSE_ADDRESSES, true)
-                .set(Options.BACKLOG, backlog)
+                .set(Options.BACKLOG, limits.backlog())
                 .set(Options.WRITE_TIMEOUT, NetworkConstants.RESPONSE_TIMEOUT_MS)
                 .getMap();
         ChannelListener<StreamConnection> accepted = connection -> connections.open(connection, opener);
@@ -86,15 +79,15 @@
                 .resumeAccepts();
     }
 
-    private static OptionMap httpOptions() {
+    private OptionMap httpOptions() {
         return OptionMap.builder()
                 .set(UndertowOptions.ALWAYS_SET_DATE, false)
                 .set(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
                 .set(UndertowOptions.RECORD_REQUEST_START_TIME, false)
                 .set(UndertowOptions.NO_REQUEST_TIMEOUT, NetworkConstants.IDLE_CONNECTION_MS)
                 .set(UndertowOptions.REQUEST_PARSE_TIMEOUT, NetworkConstants.REQUEST_TIMEOUT_MS)
-                .set(UndertowOptions.MAX_HEADER_SIZE, NetworkConstants.MAX_HEAD_BYTES)
-                .set(UndertowOptions.MAX_HEADERS, NetworkConstants.MAX_HEADERS)
+                .set(UndertowOptions.MAX_HEADER_SIZE, limits.headBytes())
+                .set(UndertowOptions.MAX_HEADERS, limits.headBytes() / NetworkConstants.HEAD_BYTES_PER_HEADER)
                 .set(UndertowOptions.MAX_PARAMETERS, NetworkConstants.MAX_QUERY_PARAMETERS)
                 .getMap();
     }
--- a/src/test/java/org/spoolline/config/SettingsFileTest.java
+++ b/src/test/java/org/spoolline/config/SettingsFileTest.java
@@ -29,6 +29,10 @@
     void derivesLimitsAndTimesFromSettings() throws Exception {
         Settings small = SettingsFile.parse(VALID_SETTINGS.replace("sockets = 2500", "sockets = 100"));
         Settings large = SettingsFile.parse(VALID_SETTINGS.replace("report_s = 3.0", "report_s = 4.0"));
+        assertEquals(80, small.maxInboundConnections());
+        assertEquals(2000, large.maxInboundConnections());
+        assertEquals(8192, small.maxHeadBytes());
+        assertEquals(8192, large.maxHeadBytes());
         assertEquals(100, small.backlog());
         assertEquals(2500, large.backlog());
         assertTrue(small.maxEarlyHeartbeatRequests() + small.idleConnections() < 100 / 2);
