Test that connections in use stay open while others send nothing

Seen red with the protection taken out (a trial): with connections in use kept in the order of opening, the connection is closed.

--- a/src/test/java/org/spoolline/cli/UnfinishedRequestsTest.java
+++ b/src/test/java/org/spoolline/cli/UnfinishedRequestsTest.java
@@ -93,6 +93,21 @@
         }
     }
 
+    /** Otherwise workers and users lose their connections, and requests on the way, to clients that send nothing. */
+    @Test
+    void connectionInUseIsNotClosedForUnfinishedRequests(@TempDir Path directory) throws Exception {
+        String health = "GET /healthz HTTP/1.1\r\nHost: node\r\n\r\n";
+        try (RunningNode node = RunningNode.start(directory, SOCKETS);
+                Socket inUse = node.connect()) {
+            send(inUse, health);
+            assertEquals("200", RunningNode.response(inUse).substring(9, 12));
+            holdOpen(node, UNFINISHED.get(0));
+            assertServesOthers(node, 2);
+            send(inUse, health);
+            assertEquals("200", RunningNode.response(inUse).substring(9, 12));
+        }
+    }
+
     /** Opens more connections than the node may have, and leaves them open. */
     private void holdOpen(RunningNode node, String unfinished) throws IOException {
         for (int i = 0; i < CLIENTS; i++) {
