--- a/src/main/java/org/spoolline/config/NetworkConstants.java
+++ b/src/main/java/org/spoolline/config/NetworkConstants.java
@@ -55,6 +55,8 @@
     public static final int FORWARDED_REQUESTS_MIN = 4;
     /** Maximum extension in ms of a timeout that fires late, to read a response that arrived in time. */
     public static final long LATE_GRACE_MS = 2_000;
+    /** Minimum number of connections that may wait to be accepted: a client that finds no place tries again after 1 s. */
+    public static final int BACKLOG_MIN = 4_096;
     /** Attempts to bind an address that a terminated process may still hold. */
     public static final int BIND_TRIES = 8;
     /** Delay in ms between two bind attempts. */
--- a/src/main/java/org/spoolline/config/Settings.java
+++ b/src/main/java/org/spoolline/config/Settings.java
@@ -240,9 +240,12 @@
         return (long) (workers.heartbeatMs() * Constants.Heartbeat.HEARTBEATS_MISSING);
     }
 
-    /** Maximum number of pending inbound connections: the socket quota, since all workers may connect at once. */
+    /**
+     * Maximum number of pending inbound connections: the socket quota, since all workers may connect at once, but not
+     * less than what the kernel allows by default.
+     */
     public int backlog() {
-        return Math.max(NetworkConstants.IDLE_CONNECTIONS_MIN, quota.sockets());
+        return Math.max(NetworkConstants.BACKLOG_MIN, quota.sockets());
     }
 
     /**
--- a/src/main/java/org/spoolline/net/Timeout.java
+++ b/src/main/java/org/spoolline/net/Timeout.java
@@ -7,7 +7,7 @@
 import org.xnio.XnioExecutor;
 
 /**
- * Timeout of a call. After a period in which it was busy, the event loop runs the timers that are due before it reads
+ * Timeout of a call, or of a request body. After a period in which it was busy, the event loop runs the timers that are due before it reads
  * the responses that arrived in the meantime. It would then time out calls that have already been answered, such as
  * renewals of the leadership lease. A timer that fires late by more than a margin is therefore extended by the
  * time it was late, up to a limit, so that the loop reads from the network first.
